--- /dev/null
+++ b/internal/backend/stand/instance__follow.go
@@ -0,0 +1,236 @@
+package stand
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/agatespindle/agatespindle/internal/backend/adapt"
+)
+
+var errOldTerm = errors.New("term is lower than the accepted one")
+
+// acceptTerm takes a term; writes of lower ones are refused from here on. The caller holds mu.
+func (in *Instance) acceptTerm(term uint64) error {
+	if term < in.term {
+		return errOldTerm
+	}
+	if term == in.term {
+		return nil
+	}
+	if err := writeTerm(in.termFile(), term); err != nil {
+		return err
+	}
+	in.term = term
+	in.primary = false
+	in.stopFollowing()
+	for s := range in.sessions {
+		if s.writing.Load() {
+			s.conn.Close()
+		}
+	}
+	in.notify()
+	return nil
+}
+
+func (in *Instance) stopFollowing() {
+	in.following = false
+	if in.stopFeed != nil {
+		in.stopFeed()
+		in.stopFeed = nil
+	}
+}
+
+func (in *Instance) fence(term uint64) (adapt.Status, error) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	err := in.acceptTerm(term)
+	return in.status(), err
+}
+
+// promote makes the instance the primary of a term; the marker of the term is its first entry.
+func (in *Instance) promote(term, start uint64) (adapt.Status, error) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if err := in.acceptTerm(term); err != nil {
+		return in.status(), err
+	}
+	if in.primary {
+		return in.status(), nil
+	}
+	if in.following || in.log.last() != start || in.log.lastTerm() >= term {
+		return in.status(), fmt.Errorf("log ends at %d in term %d, not at %d before term %d", in.log.last(), in.log.lastTerm(), start, term)
+	}
+	if err := in.log.append(entry{Term: term, Position: start + 1}); err != nil {
+		return in.status(), err
+	}
+	in.primary = true
+	in.notify()
+	return in.status(), nil
+}
+
+// follow cuts the log to the forks and starts to follow the primary.
+func (in *Instance) follow(f adapt.Following) (adapt.Status, error) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if err := in.acceptTerm(f.Term); err != nil {
+		return in.status(), err
+	}
+	if in.primary {
+		return in.status(), errors.New("instance is the primary of this term")
+	}
+	if in.following {
+		return in.status(), nil
+	}
+	if err := in.cut(f.Forks); err != nil {
+		return in.status(), err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	in.stopFeed = cancel
+	in.following = true
+	in.wg.Add(1)
+	go in.feed(ctx, f)
+	in.notify()
+	return in.status(), nil
+}
+
+// cut drops the entries that a later term does not have. The caller holds mu.
+func (in *Instance) cut(forks []adapt.Fork) error {
+	keep := in.log.last()
+	for _, f := range forks {
+		if f.Term > in.log.lastTerm() {
+			keep = min(keep, f.Position)
+		}
+	}
+	if keep == in.log.last() {
+		return nil
+	}
+	if err := in.log.cut(keep); err != nil {
+		return err
+	}
+	for s := range in.sessions {
+		s.conn.Close()
+	}
+	return in.rebuild()
+}
+
+// feed reads the primary's log until the instance follows no more.
+func (in *Instance) feed(ctx context.Context, f adapt.Following) {
+	defer in.wg.Done()
+	for ctx.Err() == nil {
+		_ = in.feedOnce(ctx, f)
+		select {
+		case <-ctx.Done():
+		case <-time.After(beatInterval):
+		}
+	}
+}
+
+func (in *Instance) feedOnce(ctx context.Context, f adapt.Following) error {
+	conn, err := adapt.Postgres(f.Addr, in.cfg.Name, adapt.AdminDatabase).Connect(ctx)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	front := pgproto3.NewFrontend(conn, conn)
+	front.Send(&pgproto3.Query{String: fmt.Sprintf("LOG %d %d", f.Term, in.Status().Position)})
+	if err := front.Flush(); err != nil {
+		return err
+	}
+	for {
+		m, err := front.Receive()
+		if err != nil {
+			return err
+		}
+		row, ok := m.(*pgproto3.DataRow)
+		if !ok {
+			continue
+		}
+		if err := in.take(ctx, f.Term, row.Values[0]); err != nil {
+			return err
+		}
+	}
+}
+
+// shipped is an entry on its way to a replica, with the time at which it left.
+type shipped struct {
+	Entry entry `json:"entry"`
+	At    int64 `json:"at"`
+}
+
+func (in *Instance) take(ctx context.Context, term uint64, b []byte) error {
+	var s shipped
+	if err := json.Unmarshal(b, &s); err != nil {
+		return err
+	}
+	in.mu.Lock()
+	lag := in.lag
+	in.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(time.Until(time.Unix(0, s.At).Add(lag))):
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.term != term || !in.following || ctx.Err() != nil {
+		return errOldTerm
+	}
+	if s.Entry.Position != in.log.last()+1 {
+		return fmt.Errorf("entry %d does not follow entry %d", s.Entry.Position, in.log.last())
+	}
+	if err := applyEntry(in.db, s.Entry); err != nil {
+		return err
+	}
+	if err := in.log.append(s.Entry); err != nil {
+		return err
+	}
+	in.notify()
+	return nil
+}
+
+// announceInterval is the time between announcements.
+const announceInterval = 500 * time.Millisecond
+
+// announce tells the system about the instance, at any host that answers.
+func (in *Instance) announce(ctx context.Context) {
+	defer in.wg.Done()
+	a := adapt.Announcement{
+		Name: in.cfg.Name, Group: in.cfg.Group, Center: in.cfg.Center, Instance: in.id,
+		Addr: in.cfg.Listener.Addr().String(),
+	}
+	body, err := json.Marshal(a)
+	if err != nil {
+		return
+	}
+	client := &http.Client{Timeout: time.Second}
+	for i := 0; ctx.Err() == nil; i++ {
+		if n := len(in.cfg.Hosts); n > 0 {
+			post(ctx, client, "http://"+in.cfg.Hosts[i%n]+adapt.AnnouncePath, body)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(announceInterval):
+		}
+	}
+}
+
+func post(ctx context.Context, client *http.Client, url string, body []byte) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := client.Do(req)
+	if err == nil {
+		resp.Body.Close()
+	}
+}
--- /dev/null
+++ b/internal/backend/stand/log.go
@@ -0,0 +1,142 @@
+package stand
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+)
+
+// entry is one committed transaction of the statement log.
+type entry struct {
+	Term       uint64      `json:"term"`
+	Position   uint64      `json:"position"`
+	Statements []statement `json:"statements,omitempty"`
+}
+
+// statement is a writing statement with its parameters; a nil parameter is NULL.
+type statement struct {
+	Text   string    `json:"text"`
+	Params []*string `json:"params,omitempty"`
+}
+
+func (s statement) values() []any {
+	list := make([]any, len(s.Params))
+	for i, p := range s.Params {
+		if p != nil {
+			list[i] = *p
+		}
+	}
+	return list
+}
+
+// entryLog is the log of an instance: JSON lines in a file, and all entries in memory.
+type entryLog struct {
+	file    *os.File
+	entries []entry
+}
+
+func openLog(path string) (*entryLog, error) {
+	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("open log of instance: %w", err)
+	}
+	l := &entryLog{file: f}
+	end, err := l.read()
+	if err != nil {
+		return nil, err
+	}
+	if err := f.Truncate(end); err != nil {
+		return nil, err
+	}
+	_, err = f.Seek(end, 0)
+	return l, err
+}
+
+// read reads whole lines and returns where the last one ends.
+func (l *entryLog) read() (int64, error) {
+	r := bufio.NewReader(l.file)
+	var end int64
+	for {
+		line, err := r.ReadBytes('\n')
+		if err != nil {
+			return end, nil
+		}
+		var e entry
+		if json.Unmarshal(bytes.TrimSpace(line), &e) != nil {
+			return end, nil
+		}
+		l.entries = append(l.entries, e)
+		end += int64(len(line))
+	}
+}
+
+func (l *entryLog) last() uint64 { return uint64(len(l.entries)) }
+
+func (l *entryLog) lastTerm() uint64 {
+	if len(l.entries) == 0 {
+		return 0
+	}
+	return l.entries[len(l.entries)-1].Term
+}
+
+func (l *entryLog) append(e entry) error {
+	if e.Position != l.last()+1 {
+		return fmt.Errorf("entry %d does not follow entry %d", e.Position, l.last())
+	}
+	b, err := json.Marshal(e)
+	if err != nil {
+		return err
+	}
+	if _, err := l.file.Write(append(b, '\n')); err != nil {
+		return err
+	}
+	l.entries = append(l.entries, e)
+	return nil
+}
+
+// cut drops all entries after position.
+func (l *entryLog) cut(position uint64) error {
+	l.entries = l.entries[:position:position]
+	if err := l.file.Truncate(0); err != nil {
+		return err
+	}
+	if _, err := l.file.Seek(0, 0); err != nil {
+		return err
+	}
+	w := bufio.NewWriter(l.file)
+	enc := json.NewEncoder(w)
+	for _, e := range l.entries {
+		if err := enc.Encode(e); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
+
+func (l *entryLog) close() error { return l.file.Close() }
+
+func (in *Instance) termFile() string { return in.cfg.Dir + "/term" }
+
+func readTerm(path string, least uint64) (uint64, error) {
+	b, err := os.ReadFile(path)
+	if os.IsNotExist(err) {
+		return least, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	n, err := strconv.ParseUint(strings.TrimSpace(string(b)), 10, 64)
+	return max(n, least), err
+}
+
+func writeTerm(path string, term uint64) error {
+	part := path + ".part"
+	if err := os.WriteFile(part, []byte(strconv.FormatUint(term, 10)), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(part, path)
+}
--- /dev/null
+++ b/internal/backend/stand/session__extended.go
@@ -0,0 +1,157 @@
+package stand
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// portal is a bound statement; a result is kept from its description to its execution.
+type portal struct {
+	text    string
+	params  []*string
+	formats []int16
+	res     *result
+}
+
+// extended handles one message of the extended query protocol.
+func (s *session) extended(ctx context.Context, m pgproto3.FrontendMessage) error {
+	switch m := m.(type) {
+	case *pgproto3.Parse:
+		s.prep[m.Name] = m.Query
+		s.back.Send(&pgproto3.ParseComplete{})
+		return nil
+	case *pgproto3.Bind:
+		return s.bind(m)
+	case *pgproto3.Describe:
+		return s.describe(ctx, m)
+	case *pgproto3.Execute:
+		return s.execute(ctx, m)
+	case *pgproto3.Close:
+		if m.ObjectType == 'S' {
+			delete(s.prep, m.Name)
+		} else {
+			delete(s.portals, m.Name)
+		}
+		s.back.Send(&pgproto3.CloseComplete{})
+		return nil
+	}
+	return unsupported(fmt.Sprintf("message %T", m))
+}
+
+func (s *session) bind(m *pgproto3.Bind) error {
+	text, ok := s.prep[m.PreparedStatement]
+	if !ok {
+		return &pgError{codeNoStatement, fmt.Sprintf("prepared statement %q does not exist", m.PreparedStatement)}
+	}
+	p := &portal{text: text, formats: m.ResultFormatCodes}
+	for i, b := range m.Parameters {
+		p.params = append(p.params, paramText(b, formatAt(m.ParameterFormatCodes, i)))
+	}
+	s.portals[m.DestinationPortal] = p
+	s.back.Send(&pgproto3.BindComplete{})
+	return nil
+}
+
+func formatAt(codes []int16, i int) int16 {
+	switch {
+	case len(codes) == 0:
+		return pgproto3.TextFormat
+	case len(codes) == 1:
+		return codes[0]
+	case i < len(codes):
+		return codes[i]
+	}
+	return pgproto3.TextFormat
+}
+
+// paramText returns a parameter as text; a binary one of 8 bytes is an integer.
+func paramText(b []byte, format int16) *string {
+	if b == nil {
+		return nil
+	}
+	text := string(b)
+	if format == pgproto3.BinaryFormat && len(b) == 8 {
+		text = strconv.FormatInt(int64(binary.BigEndian.Uint64(b)), 10)
+	}
+	return &text
+}
+
+func paramCount(text string) int {
+	n := 0
+	for _, m := range dollar.FindAllStringSubmatch(text, -1) {
+		i, _ := strconv.Atoi(m[1])
+		n = max(n, i)
+	}
+	return min(n, math.MaxUint16)
+}
+
+func (s *session) describe(ctx context.Context, m *pgproto3.Describe) error {
+	if m.ObjectType == 'S' {
+		return s.describeStatement(ctx, m.Name)
+	}
+	p, ok := s.portals[m.Name]
+	if !ok {
+		return &pgError{codeNoPortal, fmt.Sprintf("portal %q does not exist", m.Name)}
+	}
+	if !reads(verb(p.text)) && !returning(p.text) {
+		s.back.Send(&pgproto3.NoData{})
+		return nil
+	}
+	res, err := s.run(ctx, p.text, p.params)
+	if err != nil {
+		return err
+	}
+	p.res = res
+	s.back.Send(res.description(p.formats))
+	return nil
+}
+
+func (s *session) describeStatement(ctx context.Context, name string) error {
+	text, ok := s.prep[name]
+	if !ok {
+		return &pgError{codeNoStatement, fmt.Sprintf("prepared statement %q does not exist", name)}
+	}
+	s.back.Send(&pgproto3.ParameterDescription{ParameterOIDs: make([]uint32, paramCount(text))})
+	if !reads(verb(text)) {
+		s.back.Send(&pgproto3.NoData{})
+		return nil
+	}
+	res, err := s.run(ctx, text, make([]*string, paramCount(text)))
+	if err != nil {
+		return err
+	}
+	s.back.Send(res.description(nil))
+	return nil
+}
+
+func returning(text string) bool {
+	return strings.Contains(strings.ToUpper(text), "RETURNING")
+}
+
+func (s *session) execute(ctx context.Context, m *pgproto3.Execute) error {
+	p, ok := s.portals[m.Portal]
+	if !ok {
+		return &pgError{codeNoPortal, fmt.Sprintf("portal %q does not exist", m.Portal)}
+	}
+	if strings.TrimSpace(p.text) == "" {
+		s.back.Send(&pgproto3.EmptyQueryResponse{})
+		return nil
+	}
+	res := p.res
+	if res == nil {
+		var err error
+		if res, err = s.run(ctx, p.text, p.params); err != nil {
+			return err
+		}
+	}
+	p.res = nil
+	res.sendRows(s.back, p.formats)
+	s.back.Send(&pgproto3.CommandComplete{CommandTag: []byte(res.tag)})
+	return nil
+}
--- /dev/null
+++ b/internal/backend/stand/session__simple.go
@@ -0,0 +1,293 @@
+package stand
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/agatespindle/agatespindle/internal/backend/adapt"
+)
+
+// simple runs the statements of a simple query; several of them are one transaction.
+func (s *session) simple(ctx context.Context, text string) {
+	list := split(text)
+	if len(list) == 0 {
+		s.back.Send(&pgproto3.EmptyQueryResponse{})
+		return
+	}
+	implicit := len(list) > 1 && s.tx == nil && !controls(list)
+	if implicit {
+		if _, err := s.begin(ctx, false); err != nil {
+			s.fail(err)
+			return
+		}
+	}
+	for _, one := range list {
+		if err := s.one(ctx, one); err != nil {
+			s.fail(err)
+			if implicit {
+				s.rollback(ctx)
+			}
+			return
+		}
+	}
+	if implicit {
+		if _, err := s.commit(ctx); err != nil {
+			s.fail(err)
+		}
+	}
+}
+
+func controls(list []string) bool {
+	for _, one := range list {
+		switch verb(one) {
+		case "BEGIN", "START", "COMMIT", "END", "ROLLBACK", "ABORT":
+			return true
+		}
+	}
+	return false
+}
+
+func (s *session) one(ctx context.Context, text string) error {
+	res, err := s.run(ctx, text, nil)
+	if err != nil {
+		return err
+	}
+	if res.columns != nil {
+		s.back.Send(res.description(nil))
+	}
+	res.sendRows(s.back, nil)
+	s.back.Send(&pgproto3.CommandComplete{CommandTag: []byte(res.tag)})
+	return nil
+}
+
+// run runs one statement in a slot.
+func (s *session) run(ctx context.Context, text string, params []*string) (*result, error) {
+	v := verb(text)
+	if s.status == 'E' && v != "ROLLBACK" && v != "ABORT" && v != "COMMIT" && v != "END" {
+		return nil, &pgError{codeAborted, "current transaction is aborted, commands ignored until end of transaction block"}
+	}
+	ctx, done := s.cancelable(ctx)
+	defer done()
+	switch v {
+	case "BEGIN", "START":
+		return s.begin(ctx, strings.Contains(strings.ToUpper(text), "READ ONLY"))
+	case "COMMIT", "END":
+		return s.commit(ctx)
+	case "ROLLBACK", "ABORT":
+		return s.rollback(ctx)
+	case "SET", "RESET", "DISCARD", "DEALLOCATE":
+		return &result{tag: v}, nil
+	case "COPY", "LISTEN", "NOTIFY", "VACUUM":
+		return nil, unsupported(v)
+	}
+	select {
+	case s.in.slots <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	defer func() { <-s.in.slots }()
+	if s.in.cfg.Cost > 0 {
+		time.Sleep(s.in.cfg.Cost)
+	}
+	if reads(v) {
+		return s.read(ctx, text, params)
+	}
+	return s.write(ctx, text, params)
+}
+
+// cancelable returns a context that a cancel request ends.
+func (s *session) cancelable(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	s.mu.Lock()
+	s.cancel = cancel
+	s.mu.Unlock()
+	return ctx, func() {
+		s.mu.Lock()
+		s.cancel = nil
+		s.mu.Unlock()
+		cancel()
+	}
+}
+
+func reads(v string) bool {
+	switch v {
+	case "SELECT", "VALUES", "EXPLAIN", "SHOW", "TABLE":
+		return true
+	}
+	return false
+}
+
+func (s *session) read(ctx context.Context, text string, params []*string) (*result, error) {
+	if verb(text) == "SHOW" {
+		return s.show(text)
+	}
+	if _, err := s.engine.ExecContext(ctx, "PRAGMA query_only=ON"); err != nil {
+		return nil, err
+	}
+	defer s.engine.ExecContext(context.Background(), "PRAGMA query_only=OFF")
+	return s.query(ctx, text, params)
+}
+
+func (s *session) show(text string) (*result, error) {
+	name := strings.ToLower(strings.TrimSpace(strings.TrimSpace(text)[len("SHOW"):]))
+	values := map[string]string{"transaction_read_only": "off", "server_version": "15.0", "agatespindle.instance": s.in.cfg.Name}
+	if !s.in.Status().Primary {
+		values["transaction_read_only"] = "on"
+	}
+	v, ok := values[name]
+	if !ok {
+		return nil, &pgError{codeSyntax, fmt.Sprintf("unrecognized configuration parameter %q", name)}
+	}
+	return &result{columns: []column{{name, oidText}}, rows: [][]any{{v}}, tag: "SHOW"}, nil
+}
+
+// write runs a writing statement, in a transaction of its own where none is open.
+func (s *session) write(ctx context.Context, text string, params []*string) (*result, error) {
+	own := s.tx == nil
+	if own {
+		if _, err := s.begin(ctx, false); err != nil {
+			return nil, err
+		}
+	}
+	if s.tx.readOnly {
+		return nil, &pgError{codeReadOnly, "cannot execute " + verb(text) + " in a read-only transaction"}
+	}
+	if !s.writing.Load() {
+		if err := s.startWriting(ctx); err != nil {
+			return nil, s.abandon(own, err)
+		}
+	}
+	res, err := s.query(ctx, text, params)
+	if err != nil {
+		return nil, s.abandon(own, err)
+	}
+	s.tx.statements = append(s.tx.statements, statement{text, params})
+	if own {
+		if _, err := s.commit(ctx); err != nil {
+			return nil, err
+		}
+	}
+	return res, nil
+}
+
+func (s *session) abandon(own bool, err error) error {
+	if own {
+		s.rollback(context.Background())
+	}
+	return err
+}
+
+func (s *session) startWriting(ctx context.Context) error {
+	st := s.in.Status()
+	if !st.Primary {
+		return &pgError{codeReadOnly, "cannot execute a write in a read-only transaction"}
+	}
+	if s.tx.term != 0 && s.tx.term != st.Term {
+		return errFenced
+	}
+	s.tx.term = st.Term
+	if _, err := s.engine.ExecContext(ctx, "ROLLBACK"); err != nil {
+		return err
+	}
+	if _, err := s.engine.ExecContext(ctx, "BEGIN IMMEDIATE"); err != nil {
+		return err
+	}
+	s.writing.Store(true)
+	return nil
+}
+
+// begin opens a transaction. It becomes a writing one with its first write.
+func (s *session) begin(ctx context.Context, readOnly bool) (*result, error) {
+	if s.tx != nil {
+		return &result{tag: "BEGIN"}, nil
+	}
+	if _, err := s.engine.ExecContext(ctx, "BEGIN"); err != nil {
+		return nil, err
+	}
+	s.tx = &transaction{readOnly: readOnly}
+	s.status = 'T'
+	return &result{tag: "BEGIN"}, nil
+}
+
+func (s *session) commit(ctx context.Context) (*result, error) {
+	if s.tx == nil {
+		return &result{tag: "COMMIT"}, nil
+	}
+	if s.status == 'E' {
+		return s.rollback(ctx)
+	}
+	tx := s.tx
+	end := func() error {
+		_, err := s.engine.ExecContext(context.Background(), "COMMIT")
+		return err
+	}
+	if !s.writing.Load() {
+		s.endTransaction()
+		return &result{tag: "COMMIT"}, end()
+	}
+	position, err := s.in.commit(ctx, tx.term, tx.statements, end)
+	if err != nil {
+		s.rollback(context.Background())
+		return nil, err
+	}
+	s.endTransaction()
+	s.back.Send(&pgproto3.ParameterStatus{Name: adapt.PositionParameter, Value: fmt.Sprintf("%d/%d", tx.term, position)})
+	return &result{tag: "COMMIT"}, nil
+}
+
+func (s *session) rollback(context.Context) (*result, error) {
+	if s.tx != nil {
+		s.engine.ExecContext(context.Background(), "ROLLBACK")
+	}
+	s.endTransaction()
+	return &result{tag: "ROLLBACK"}, nil
+}
+
+func (s *session) endTransaction() {
+	s.tx = nil
+	s.status = 'I'
+	s.writing.Store(false)
+}
+
+// split cuts a simple query at semicolons outside of quotes and drops empty parts.
+func split(text string) []string {
+	var list []string
+	start := 0
+	var quote byte
+	for i := 0; i < len(text); i++ {
+		c := text[i]
+		switch {
+		case quote != 0:
+			if c == quote {
+				quote = 0
+			}
+		case c == '\'' || c == '"':
+			quote = c
+		case c == ';':
+			list = appendPart(list, text[start:i])
+			start = i + 1
+		}
+	}
+	return appendPart(list, text[start:])
+}
+
+func appendPart(list []string, part string) []string {
+	if part = strings.TrimSpace(part); part != "" {
+		list = append(list, part)
+	}
+	return list
+}
+
+// verb returns the first word of a statement in capitals.
+func verb(text string) string {
+	text = strings.TrimLeft(text, " \t\r\n(")
+	end := strings.IndexFunc(text, func(r rune) bool { return (r < 'a' || r > 'z') && (r < 'A' || r > 'Z') })
+	if end < 0 {
+		end = len(text)
+	}
+	return strings.ToUpper(text[:end])
+}
--- /dev/null
+++ b/internal/base/conf/check.go
@@ -0,0 +1,149 @@
+package conf
+
+import (
+	"fmt"
+	"net"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+)
+
+// electionBeats is the least number of heartbeats that fit into an election timeout.
+const electionBeats = 3
+
+// renewals is the least number of renewals that fit into a lease.
+const renewals = 3
+
+func newValidator() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string { return f.Tag.Get("json") })
+	must(v.RegisterValidation("hostport", func(f validator.FieldLevel) bool { return validAddr(f.Field().String()) }))
+	must(v.RegisterValidation("span", func(f validator.FieldLevel) bool {
+		low, high := bounds(f.Param())
+		n := time.Duration(f.Field().Int())
+		return n >= low && n <= high
+	}))
+	return v
+}
+
+// must panics on an error of the program itself: a validation with an empty name.
+func must(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+func validAddr(s string) bool {
+	host, port, err := net.SplitHostPort(s)
+	if err != nil || net.ParseIP(host) == nil {
+		return false
+	}
+	n, err := strconv.Atoi(port)
+	return err == nil && n > 0 && n < 1<<16
+}
+
+func bounds(param string) (low, high time.Duration) {
+	a, b, _ := strings.Cut(param, ":")
+	low, _ = time.ParseDuration(a)
+	high, _ = time.ParseDuration(b)
+	return low, high
+}
+
+// check reports every mistake that the decoded settings hold, except in fields that did
+// not decode: those have a fault already.
+func (d *decoder) check(cfg Config) {
+	d.checkFields(cfg)
+	d.checkRoles(cfg)
+	d.checkSpans(cfg)
+	d.checkAddrs(cfg)
+}
+
+func (d *decoder) checkFields(cfg Config) {
+	err := newValidator().Struct(cfg)
+	broken, ok := err.(validator.ValidationErrors)
+	if !ok {
+		return
+	}
+	for _, f := range broken {
+		path := strings.TrimPrefix(f.Namespace(), "Config.")
+		if d.faulted(path) {
+			continue
+		}
+		d.fault(d.at[path], "%s: %s", path, advice(f))
+	}
+}
+
+// faulted reports whether the value at path has a fault from decoding.
+func (d *decoder) faulted(path string) bool {
+	for _, f := range d.faults {
+		if strings.HasPrefix(f.Text, path+":") {
+			return true
+		}
+	}
+	return false
+}
+
+func advice(f validator.FieldError) string {
+	switch f.Tag() {
+	case "required":
+		return "is missing; give it a value"
+	case "oneof":
+		return fmt.Sprintf("%q is not known; write one of %s", f.Value(), f.Param())
+	case "hostport":
+		return fmt.Sprintf(`%q is no address; write an IP number and a port, such as "127.0.0.1:6432"`, f.Value())
+	case "hostname_rfc1123":
+		return fmt.Sprintf("%q is no host name; use letters, digits and hyphens", f.Value())
+	case "span":
+		low, high := bounds(f.Param())
+		return fmt.Sprintf("%v is out of bounds; write a duration from %s to %s", f.Value(), low, high)
+	case "unique":
+		return "has the same value twice; keep one"
+	}
+	return "breaks the rule " + f.Tag()
+}
+
+func (d *decoder) checkRoles(cfg Config) {
+	if cfg.Has(Control) && cfg.Data == "" {
+		d.fault(d.at["data"], `data: a control host needs a folder for its log; write such as "/var/lib/agatespindle"`)
+	}
+	if cfg.Has(Entry) && cfg.Caller == "" {
+		d.fault(d.at["caller"], `caller: an entry host needs an address for callers; write such as "127.0.0.1:6432"`)
+	}
+	if cfg.Has(Control) && !cfg.named() {
+		d.fault(d.at["control"], "control: this host has the role control but %q is not in the list; add it", cfg.Host)
+	}
+}
+
+func (c Config) named() bool {
+	for _, p := range c.Control {
+		if p.Host == c.Host {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *decoder) checkSpans(cfg Config) {
+	if cfg.Renew > 0 && cfg.Lease < renewals*cfg.Renew {
+		d.fault(d.at["lease"], "lease: %s is under %d renewals of %s; write at least %s", cfg.Lease, renewals, cfg.Renew, renewals*cfg.Renew)
+	}
+	if cfg.Beat > 0 && cfg.Election < electionBeats*cfg.Beat {
+		d.fault(d.at["election"], "election: %s is under %d heartbeats of %s; write at least %s", cfg.Election, electionBeats, cfg.Beat, electionBeats*cfg.Beat)
+	}
+}
+
+func (d *decoder) checkAddrs(cfg Config) {
+	seen := map[string]string{}
+	for _, a := range []struct{ name, addr string }{{"caller", cfg.Caller}, {"api", cfg.API}, {"link", cfg.Link}} {
+		if a.addr == "" {
+			continue
+		}
+		if other, taken := seen[a.addr]; taken {
+			d.fault(d.at[a.name], "%s: %s is taken by %q; write another port", a.name, a.addr, other)
+		}
+		seen[a.addr] = a.name
+	}
+}
--- /dev/null
+++ b/internal/base/link/link.go
@@ -0,0 +1,300 @@
+// Package link provides streams between hosts: yamux over TCP, with length-prefixed
+// protobuf messages on each stream.
+package link
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/agatespindle/agatespindle/internal/base/wire"
+)
+
+// MaxMessage is the largest message in bytes that a stream carries; snapshots set it.
+const MaxMessage = 64 << 20
+
+const (
+	dialLimit  = time.Second
+	helloLimit = 2 * time.Second
+	writeLimit = 2 * time.Second
+	keepAlive  = 2 * time.Second
+	windowSize = 1 << 20
+)
+
+// Conn is one stream of messages. Recv and Send may run side by side, each by one goroutine.
+type Conn struct {
+	raw net.Conn
+	r   *bufio.Reader
+	mu  sync.Mutex
+	buf []byte
+}
+
+func newConn(raw net.Conn) *Conn {
+	return &Conn{raw: raw, r: bufio.NewReader(raw)}
+}
+
+// Send writes m. It may be called by several goroutines.
+func (c *Conn) Send(m proto.Message) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.buf = binary.AppendUvarint(c.buf[:0], uint64(proto.Size(m)))
+	b, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(c.buf, m)
+	if err != nil {
+		return fmt.Errorf("encode message: %w", err)
+	}
+	c.buf = b
+	if _, err := c.raw.Write(b); err != nil {
+		return fmt.Errorf("send message: %w", err)
+	}
+	return nil
+}
+
+// Recv reads the next message into m.
+func (c *Conn) Recv(m proto.Message) error {
+	b, err := ReadFrame(c.r)
+	if err != nil {
+		return err
+	}
+	return proto.Unmarshal(b, m)
+}
+
+// ReadFrame reads one length-prefixed frame. It refuses a length over MaxMessage.
+func ReadFrame(r *bufio.Reader) ([]byte, error) {
+	n, err := binary.ReadUvarint(r)
+	if err != nil {
+		return nil, err
+	}
+	if n > MaxMessage {
+		return nil, fmt.Errorf("message of %d bytes is over the limit of %d", n, MaxMessage)
+	}
+	b := make([]byte, 0, min(n, 64<<10))
+	for uint64(len(b)) < n {
+		next := min(n-uint64(len(b)), 64<<10)
+		b = append(b, make([]byte, next)...)
+		if _, err := io.ReadFull(r, b[uint64(len(b))-next:]); err != nil {
+			return nil, err
+		}
+	}
+	return b, nil
+}
+
+// SetDeadline bounds all later calls.
+func (c *Conn) SetDeadline(t time.Time) error { return c.raw.SetDeadline(t) }
+
+// Close ends the stream.
+func (c *Conn) Close() error { return c.raw.Close() }
+
+func settings() *yamux.Config {
+	cfg := yamux.DefaultConfig()
+	cfg.KeepAliveInterval = keepAlive
+	cfg.ConnectionWriteTimeout = writeLimit
+	cfg.MaxStreamWindowSize = windowSize
+	cfg.LogOutput = io.Discard
+	return cfg
+}
+
+// Handler serves one accepted stream. It returns when the stream has ended.
+type Handler func(ctx context.Context, from string, c *Conn)
+
+// Server accepts streams and hands each to the handler of the service that it names.
+// The exported fields are set before Run.
+type Server struct {
+	Listener net.Listener
+	// Handlers are found by the service's name.
+	Handlers map[string]Handler
+
+	mu       sync.Mutex
+	sessions map[*yamux.Session]struct{}
+	wg       sync.WaitGroup
+}
+
+// Run serves until ctx ends. The end is reported on the returned channel once every
+// stream has ended.
+func (s *Server) Run(ctx context.Context) <-chan error {
+	s.sessions = map[*yamux.Session]struct{}{}
+	done := make(chan error, 1)
+	go func() {
+		<-ctx.Done()
+		s.Listener.Close()
+		s.mu.Lock()
+		for one := range s.sessions {
+			one.Close()
+		}
+		s.mu.Unlock()
+	}()
+	go func() {
+		err := s.accept(ctx)
+		s.wg.Wait()
+		done <- err
+	}()
+	return done
+}
+
+func (s *Server) accept(ctx context.Context) error {
+	for {
+		raw, err := s.Listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return fmt.Errorf("accept hosts: %w", err)
+		}
+		session, err := yamux.Server(raw, settings())
+		if err != nil {
+			raw.Close()
+			continue
+		}
+		if !s.track(ctx, session) {
+			session.Close()
+			continue
+		}
+		go s.session(ctx, session)
+	}
+}
+
+func (s *Server) track(ctx context.Context, session *yamux.Session) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ctx.Err() != nil {
+		return false
+	}
+	s.sessions[session] = struct{}{}
+	s.wg.Add(1)
+	return true
+}
+
+func (s *Server) session(ctx context.Context, session *yamux.Session) {
+	defer s.wg.Done()
+	defer func() {
+		session.Close()
+		s.mu.Lock()
+		delete(s.sessions, session)
+		s.mu.Unlock()
+	}()
+	for {
+		stream, err := session.AcceptStream()
+		if err != nil {
+			return
+		}
+		s.wg.Add(1)
+		go s.stream(ctx, stream)
+	}
+}
+
+func (s *Server) stream(ctx context.Context, raw net.Conn) {
+	defer s.wg.Done()
+	defer raw.Close()
+	c := newConn(raw)
+	raw.SetDeadline(time.Now().Add(helloLimit))
+	hello := &wire.Hello{}
+	if c.Recv(hello) != nil {
+		return
+	}
+	raw.SetDeadline(time.Time{})
+	h, ok := s.Handlers[hello.Service]
+	if !ok {
+		return
+	}
+	h(ctx, hello.Host, c)
+}
+
+// Dialer opens streams to other hosts over one session for each address.
+// The exported fields are set before the first Open.
+type Dialer struct {
+	// Host is the name of this host.
+	Host string
+	// Dial opens a connection; it is a seam for tests. Nil dials TCP.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
+
+	mu       sync.Mutex
+	sessions map[string]*yamux.Session
+}
+
+// Open opens a stream to the named service at addr.
+func (d *Dialer) Open(ctx context.Context, addr, service string) (*Conn, error) {
+	session, err := d.session(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	raw, err := session.OpenStream()
+	if err != nil {
+		d.forget(addr, session)
+		return nil, fmt.Errorf("open stream to %s: %w", addr, err)
+	}
+	c := newConn(raw)
+	if err := c.Send(&wire.Hello{Service: service, Host: d.Host}); err != nil {
+		raw.Close()
+		d.forget(addr, session)
+		return nil, err
+	}
+	return c, nil
+}
+
+func (d *Dialer) session(ctx context.Context, addr string) (*yamux.Session, error) {
+	d.mu.Lock()
+	have := d.sessions[addr]
+	d.mu.Unlock()
+	if have != nil && !have.IsClosed() {
+		return have, nil
+	}
+	raw, err := d.dial(ctx, addr)
+	if err != nil {
+		return nil, fmt.Errorf("dial host at %s: %w", addr, err)
+	}
+	session, err := yamux.Client(raw, settings())
+	if err != nil {
+		raw.Close()
+		return nil, fmt.Errorf("open session to %s: %w", addr, err)
+	}
+	return d.keep(addr, session), nil
+}
+
+// keep stores a new session unless another goroutine was faster.
+func (d *Dialer) keep(addr string, session *yamux.Session) *yamux.Session {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.sessions == nil {
+		d.sessions = map[string]*yamux.Session{}
+	}
+	if have := d.sessions[addr]; have != nil && !have.IsClosed() {
+		session.Close()
+		return have
+	}
+	d.sessions[addr] = session
+	return session
+}
+
+func (d *Dialer) forget(addr string, session *yamux.Session) {
+	session.Close()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.sessions[addr] == session {
+		delete(d.sessions, addr)
+	}
+}
+
+func (d *Dialer) dial(ctx context.Context, addr string) (net.Conn, error) {
+	if d.Dial != nil {
+		return d.Dial(ctx, addr)
+	}
+	dialer := net.Dialer{Timeout: dialLimit}
+	return dialer.DialContext(ctx, "tcp", addr)
+}
+
+// Close ends all sessions.
+func (d *Dialer) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for addr, session := range d.sessions {
+		session.Close()
+		delete(d.sessions, addr)
+	}
+}
--- /dev/null
+++ b/internal/control/agent/agent.go
@@ -0,0 +1,328 @@
+// Package agent provides a host's side of control: its lease, its copy of the resources and
+// its calls to the control leader.
+package agent
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/agatespindle/agatespindle/internal/base/conf"
+	"github.com/agatespindle/agatespindle/internal/base/fault"
+	"github.com/agatespindle/agatespindle/internal/base/link"
+	"github.com/agatespindle/agatespindle/internal/base/logs"
+	"github.com/agatespindle/agatespindle/internal/base/meter"
+	"github.com/agatespindle/agatespindle/internal/base/wire"
+	"github.com/agatespindle/agatespindle/internal/control/leader"
+	"github.com/agatespindle/agatespindle/internal/control/lease"
+)
+
+const (
+	retryPause = 50 * time.Millisecond
+	// streamSilence ends a lease stream that brings no answer.
+	streamSilence = 1200 * time.Millisecond
+	maxHistory    = 8192
+)
+
+// Agent keeps a host's lease and its copy of the resources. The exported fields are set
+// before Run.
+type Agent struct {
+	// Host is the name of this host.
+	Host string
+	// Record is what control keeps of this host.
+	Record *wire.HostRun
+	// Peers are the control hosts of the settings.
+	Peers []conf.Peer
+	// Renew is the interval between renewals.
+	Renew  time.Duration
+	Dialer *link.Dialer
+	Log    *logs.Logger
+	Meter  *meter.Meter
+	// Now returns the present time; it is a seam for tests.
+	Now func() time.Time
+	// Suspects and Released, where set, return what a renewal tells the leader.
+	Suspects func(now time.Time) []*wire.Suspect
+	Released func(now time.Time) []*wire.Released
+
+	mu      sync.Mutex
+	tenure  lease.Tenure
+	view    *View
+	changed chan struct{}
+	leader  string
+	next    int
+	history []*wire.Resource
+	oldest  uint64
+	inforce uint64
+	kick    chan struct{}
+
+	draining bool
+}
+
+// Prepare makes the agent ready for calls; Run must follow.
+func (a *Agent) Prepare() {
+	a.view = newView(0, nil)
+	a.changed = make(chan struct{})
+	a.kick = make(chan struct{}, 1)
+}
+
+// Run keeps the lease until ctx ends; the end is reported on the channel.
+func (a *Agent) Run(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		for ctx.Err() == nil {
+			if err := a.stream(ctx); err != nil && ctx.Err() == nil {
+				a.Log.WithError(err).Debug("lease stream ended")
+				a.Meter.Add("lease.streams", 1)
+			}
+			pause(ctx, retryPause)
+		}
+		done <- nil
+	}()
+	return done
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// Kick renews the lease at once, to confirm a revision or to tell of a failure.
+func (a *Agent) Kick() {
+	select {
+	case a.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Valid reports whether this host may serve.
+func (a *Agent) Valid(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.tenure.Valid(now)
+}
+
+// View returns the host's copy of the resources. It says what to do only under a lease.
+func (a *Agent) View() *View {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.view
+}
+
+// Changes returns the view and a channel that is closed at the next change.
+func (a *Agent) Changes() (*View, <-chan struct{}) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.view, a.changed
+}
+
+// InForce returns the newest revision that this host knows to be in force everywhere.
+func (a *Agent) InForce() uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.inforce
+}
+
+// Since returns the changes after a revision, in order; false where it is too old.
+func (a *Agent) Since(revision uint64) ([]*wire.Resource, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if revision < a.oldest || revision > a.view.Revision {
+		return nil, false
+	}
+	for i, r := range a.history {
+		if r.Revision > revision {
+			return a.history[i:len(a.history):len(a.history)], true
+		}
+	}
+	return nil, true
+}
+
+// target returns the control address to try: the leader that was named, else the next one.
+func (a *Agent) target() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.leader != "" {
+		return a.leader
+	}
+	a.next++
+	return a.Peers[a.next%len(a.Peers)].Link
+}
+
+func (a *Agent) setLeader(addr string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.leader = addr
+}
+
+// stream opens one lease stream and works on it until it ends.
+func (a *Agent) stream(ctx context.Context) error {
+	addr := a.target()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c, err := a.Dialer.Open(ctx, addr, leader.LeaseService)
+	if err != nil {
+		a.setLeader("")
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer stop()
+	defer c.Close()
+	a.resetTenure()
+	failed := make(chan error, 1)
+	go func() { failed <- a.receive(c) }()
+	err = a.send(ctx, c, failed)
+	if !errors.Is(err, errRedirect) {
+		a.setLeader("")
+	}
+	return err
+}
+
+func (a *Agent) resetTenure() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.tenure.Reset()
+}
+
+func (a *Agent) send(ctx context.Context, c *link.Conn, failed <-chan error) error {
+	tick := time.NewTicker(a.Renew)
+	defer tick.Stop()
+	for {
+		if err := c.Send(a.renewal(a.Now())); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case err := <-failed:
+			return err
+		case <-tick.C:
+		case <-a.kick:
+		}
+	}
+}
+
+func (a *Agent) renewal(now time.Time) *wire.Renew {
+	r := &wire.Renew{Host: a.Host}
+	if a.Suspects != nil {
+		r.Suspects = a.Suspects(now)
+	}
+	if a.Released != nil {
+		r.Released = a.Released(now)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r.Run = a.record()
+	r.Applied = a.view.Revision
+	r.Seq = a.tenure.Asked(now)
+	return r
+}
+
+var (
+	errRedirect = errors.New("another control host leads")
+	errReplaced = errors.New("control leader was replaced")
+	errGap      = errors.New("changes are missing")
+)
+
+func (a *Agent) receive(c *link.Conn) error {
+	for {
+		c.SetDeadline(time.Now().Add(streamSilence))
+		g := &wire.Grant{}
+		if err := c.Recv(g); err != nil {
+			return err
+		}
+		if err := a.take(g); err != nil {
+			return err
+		}
+	}
+}
+
+// take applies a message of the leader.
+func (a *Agent) take(g *wire.Grant) error {
+	if g.Reason == string(fault.NoLeader) {
+		a.setLeader(g.Leader)
+		if g.Leader == "" {
+			return errReplaced
+		}
+		return errRedirect
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.tenure.Saw(g.Term) {
+		return errReplaced
+	}
+	if err := a.learn(g); err != nil {
+		return err
+	}
+	a.inforce = max(a.inforce, g.Inforce)
+	if g.Granted {
+		a.tenure.Granted(g.Seq, g.Term, time.Duration(g.Lease))
+	}
+	return nil
+}
+
+// learn applies changes. The caller holds mu.
+func (a *Agent) learn(g *wire.Grant) error {
+	if g.Revision <= a.view.Revision && !(g.Reset_ && a.view.Revision == 0) {
+		return nil
+	}
+	if g.Reset_ {
+		a.view = newView(g.Revision, g.Changes)
+		a.history = nil
+		a.oldest = g.Revision
+	} else {
+		if g.Since > a.view.Revision {
+			return errGap
+		}
+		a.extend(g)
+	}
+	close(a.changed)
+	a.changed = make(chan struct{})
+	a.Log.SetRevision(a.view.Revision)
+	a.Meter.Set("view.revision", int64(a.view.Revision))
+	a.Kick()
+	return nil
+}
+
+func (a *Agent) extend(g *wire.Grant) {
+	before := a.view.Revision
+	a.view = a.view.With(g.Revision, g.Changes)
+	for _, r := range g.Changes {
+		if r.Revision > before {
+			a.history = append(a.history, r)
+		}
+	}
+	if drop := len(a.history) - maxHistory; drop > 0 {
+		a.oldest = a.history[drop-1].Revision
+		a.history = append([]*wire.Resource(nil), a.history[drop:]...)
+	}
+}
+
+// Drain tells control that this host takes no groups any more. Nothing takes it back.
+func (a *Agent) Drain() {
+	a.mu.Lock()
+	a.draining = true
+	a.mu.Unlock()
+	a.Kick()
+}
+
+// Draining reports whether Drain was called.
+func (a *Agent) Draining() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.draining
+}
+
+// record returns what control keeps of this host. The caller holds mu.
+func (a *Agent) record() *wire.HostRun {
+	if !a.draining {
+		return a.Record
+	}
+	r := proto.Clone(a.Record).(*wire.HostRun)
+	r.Draining = true
+	return r
+}
--- /dev/null
+++ b/internal/control/agent/calls.go
@@ -0,0 +1,87 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/agatespindle/agatespindle/internal/base/fault"
+	"github.com/agatespindle/agatespindle/internal/base/wire"
+	"github.com/agatespindle/agatespindle/internal/control/leader"
+)
+
+// callTry bounds one try of a call.
+const callTry = 4 * time.Second
+
+// Call sends a call to the control leader, wherever it is. It tries again while the verdict
+// is NotRun for want of a leader; a change with a request id is tried again in any case,
+// since its first answer is kept.
+func (a *Agent) Call(ctx context.Context, call *wire.Call) (*wire.Reply, error) {
+	maybe := false
+	var last error = fault.New(fault.NotRun, fault.NoLeader, "no control host answered")
+	for ctx.Err() == nil {
+		reply, err := a.callOnce(ctx, call)
+		if err == nil {
+			return reply, nil
+		}
+		last = err
+		e := fault.Of(err)
+		if e.Verdict != fault.NotRun {
+			maybe = true
+			if call.Command.GetRequest() == "" {
+				break
+			}
+		} else if e.Reason != fault.NoLeader && e.Reason != fault.NoQuorum {
+			break
+		}
+		a.Meter.Retried(e.Reason)
+		pause(ctx, retryPause)
+	}
+	if e := fault.Of(last); maybe && e.Verdict == fault.NotRun {
+		return nil, &fault.Error{Verdict: fault.MayHaveRun, Reason: e.Reason, Text: "an earlier try may have run", Cause: last}
+	}
+	return nil, last
+}
+
+func (a *Agent) callOnce(ctx context.Context, call *wire.Call) (*wire.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTry)
+	defer cancel()
+	c, err := a.Dialer.Open(ctx, a.target(), leader.CallService)
+	if err != nil {
+		a.setLeader("")
+		return nil, fault.New(fault.NotRun, fault.NoLeader, "control host does not answer").WithCause(err)
+	}
+	defer c.Close()
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer stop()
+	if err := c.Send(call); err != nil {
+		return nil, fault.New(lostVerdict(call), fault.NoQuorum, "call was not sent whole").WithCause(err)
+	}
+	reply := &wire.Reply{}
+	if err := c.Recv(reply); err != nil {
+		a.setLeader("")
+		return nil, fault.New(lostVerdict(call), fault.NoQuorum, "answer was lost").WithCause(err)
+	}
+	if reply.Reason != "" {
+		return nil, a.refused(reply)
+	}
+	return reply, nil
+}
+
+// lostVerdict is the verdict of a call whose answer did not come.
+func lostVerdict(call *wire.Call) fault.Verdict {
+	if call.Method == leader.Change {
+		return fault.MayHaveRun
+	}
+	return fault.NotRun
+}
+
+func (a *Agent) refused(reply *wire.Reply) error {
+	if reply.Reason == string(fault.NoLeader) {
+		a.setLeader(reply.Leader)
+	}
+	v := fault.MayHaveRun
+	if reply.Verdict == fault.NotRun.String() {
+		v = fault.NotRun
+	}
+	return fault.New(v, fault.Reason(reply.Reason), "%s", reply.Text)
+}
--- /dev/null
+++ b/internal/control/agent/view.go
@@ -0,0 +1,100 @@
+package agent
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/agatespindle/agatespindle/internal/base/wire"
+	"github.com/agatespindle/agatespindle/internal/control/spec"
+	"github.com/agatespindle/agatespindle/internal/control/state"
+)
+
+// View is an immutable copy of the resources at a revision.
+type View struct {
+	Revision  uint64
+	resources map[state.Key]*wire.Resource
+	byGroup   map[string][]*wire.Resource
+}
+
+func newView(revision uint64, list []*wire.Resource) *View {
+	v := &View{Revision: revision, resources: map[state.Key]*wire.Resource{}}
+	for _, r := range list {
+		v.resources[state.Key{Kind: spec.Kind(r.Kind), Name: r.Name}] = r
+	}
+	v.index()
+	return v
+}
+
+// With returns the view at a later revision.
+func (v *View) With(revision uint64, changes []*wire.Resource) *View {
+	next := &View{Revision: revision, resources: v.resources, byGroup: v.byGroup}
+	if len(changes) == 0 {
+		return next
+	}
+	next.resources = maps.Clone(v.resources)
+	for _, r := range changes {
+		key := state.Key{Kind: spec.Kind(r.Kind), Name: r.Name}
+		if r.Deleted {
+			delete(next.resources, key)
+		} else {
+			next.resources[key] = r
+		}
+	}
+	next.index()
+	return next
+}
+
+func (v *View) index() {
+	v.byGroup = map[string][]*wire.Resource{}
+	for key, r := range v.resources {
+		if key.Kind == spec.Backends && r.Backend != nil {
+			v.byGroup[r.Backend.Group] = append(v.byGroup[r.Backend.Group], r)
+		}
+	}
+}
+
+// Get returns a resource, or nil.
+func (v *View) Get(k spec.Kind, name string) *wire.Resource {
+	return v.resources[state.Key{Kind: k, Name: name}]
+}
+
+// List returns the resources of a kind by name; an empty kind lists all.
+func (v *View) List(k spec.Kind) []*wire.Resource {
+	var list []*wire.Resource
+	for key, r := range v.resources {
+		if k == "" || key.Kind == k {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, func(a, b *wire.Resource) int {
+		if c := strings.Compare(a.Kind, b.Kind); c != 0 {
+			return c
+		}
+		return strings.Compare(a.Name, b.Name)
+	})
+	return list
+}
+
+// Instances returns the backend servers of a group.
+func (v *View) Instances(group string) []*wire.Resource { return v.byGroup[group] }
+
+// Group returns the group that a database name stands for: a group, or a service of one.
+func (v *View) Group(database string) *wire.Resource {
+	if r := v.Get(spec.Groups, database); r != nil {
+		return r
+	}
+	s := v.Get(spec.Services, database)
+	if s == nil {
+		return nil
+	}
+	if groups := spec.ReadService(s.Spec).Groups; len(groups) == 1 {
+		return v.Get(spec.Groups, groups[0])
+	}
+	return nil
+}
+
+// Caller returns what operators declare of a user name; without a resource the defaults.
+func (v *View) Caller(user string) spec.Caller {
+	return spec.ReadCaller(v.Get(spec.Callers, user).GetSpec())
+}
--- /dev/null
+++ b/internal/control/driver/sender.go
@@ -0,0 +1,99 @@
+package driver
+
+import (
+	"context"
+	"time"
+
+	"github.com/agatespindle/agatespindle/internal/base/link"
+	"github.com/agatespindle/agatespindle/internal/base/wire"
+	"github.com/agatespindle/agatespindle/internal/control/quorum"
+)
+
+const (
+	// queueSize is the number of messages that wait for one control host.
+	queueSize   = 256
+	redialPause = 50 * time.Millisecond
+	sendLimit   = 2 * time.Second
+)
+
+// sender passes messages to one control host; what does not fit its queue is lost.
+type sender struct {
+	addr  string
+	queue chan *wire.Message
+}
+
+func (d *Driver) sendTo(ctx context.Context, m *wire.Message) {
+	addr := addrOf(d.core.Members(), m.To)
+	if addr == "" {
+		return
+	}
+	s := d.senders[m.To]
+	if s == nil || s.addr != addr {
+		s = &sender{addr: addr, queue: make(chan *wire.Message, queueSize)}
+		d.senders[m.To] = s
+		d.wg.Add(1)
+		go d.runSender(ctx, s)
+	}
+	select {
+	case s.queue <- m:
+	default:
+		d.Meter.Add("log.dropped", 1)
+	}
+}
+
+func (d *Driver) runSender(ctx context.Context, s *sender) {
+	defer d.wg.Done()
+	var c *link.Conn
+	defer func() {
+		if c != nil {
+			c.Close()
+		}
+	}()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-s.queue:
+			c = d.deliver(ctx, s, c, m)
+		}
+	}
+}
+
+// deliver sends a message and returns the stream for the next one, or nil.
+func (d *Driver) deliver(ctx context.Context, s *sender, c *link.Conn, m *wire.Message) *link.Conn {
+	if c == nil {
+		var err error
+		if c, err = d.Dialer.Open(ctx, s.addr, Service); err != nil {
+			sleep(ctx, redialPause)
+			return nil
+		}
+	}
+	c.SetDeadline(time.Now().Add(sendLimit))
+	if err := c.Send(m); err != nil {
+		c.Close()
+		return nil
+	}
+	return c
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// Serve takes messages of another control host from a stream; it is a link.Handler.
+func (d *Driver) Serve(ctx context.Context, _ string, c *link.Conn) {
+	for ctx.Err() == nil {
+		m := &wire.Message{}
+		if c.Recv(m) != nil {
+			return
+		}
+		if m.To != d.ID {
+			d.Meter.Add("log.strangers", 1)
+			continue
+		}
+		d.post(request{event: quorum.Received{Message: m}})
+	}
+}
--- /dev/null
+++ b/internal/control/group/group__choose.go
@@ -0,0 +1,99 @@
+package group
+
+import (
+	"time"
+
+	"github.com/agatespindle/agatespindle/internal/base/wire"
+)
+
+// settleTerm fences all instances and chooses the primary once the seal is in force and
+// enough of them have answered.
+func (g *Group) settleTerm(now time.Time, v View) []Action {
+	if past := highest(v.Reports); past > v.Run.Term {
+		return g.seal(now, v, Raised)
+	}
+	if v.Run.Reason == Leaving && !v.Released {
+		return nil
+	}
+	var acts []Action
+	for _, in := range v.Instances {
+		if v.Reports[in.Name].Term < v.Run.Term && g.due(now, in.Name) {
+			acts = append(acts, Fence{Instance: in.Name, Term: v.Run.Term})
+		}
+	}
+	name, r, ok := Choose(v)
+	if !ok {
+		return acts
+	}
+	return append(acts, g.propose(now, &wire.Command{Body: &wire.Command_Choose{Choose: &wire.Choose{
+		Group: v.Name, Term: v.Run.Term, Primary: name, Start: r.Position,
+	}}})...)
+}
+
+// Choose returns the primary of a sealed term: of the fenced instances the one with the
+// highest term of the last entry, then the highest position; ties go to one that stays, then
+// to the home data centre, then to the first name. It reports false while a choice could
+// lose an acknowledged write and no operator has accepted that.
+func Choose(v View) (string, Report, bool) {
+	if !v.Released {
+		return "", Report{}, false
+	}
+	fenced := map[string]Report{}
+	for name, r := range v.Reports {
+		if r.Term == v.Run.Term {
+			fenced[name] = r
+		}
+	}
+	need := Answers(v.Size, v.Acks)
+	if v.Accept == v.Run.Term {
+		need = 1
+	}
+	if len(fenced) < need {
+		return "", Report{}, false
+	}
+	fenced = v.staying(fenced, need)
+	best := ""
+	for _, name := range sortedNames(fenced) {
+		if best == "" || v.better(name, fenced[name], best, fenced[best]) {
+			best = name
+		}
+	}
+	return best, fenced[best], true
+}
+
+// staying drops leaving instances where the answers of the others suffice.
+func (v View) staying(fenced map[string]Report, need int) map[string]Report {
+	stay := map[string]Report{}
+	for name, r := range fenced {
+		if !v.instance(name).Leaving {
+			stay[name] = r
+		}
+	}
+	if len(stay) < need {
+		return fenced
+	}
+	return stay
+}
+
+func (v View) better(a string, ra Report, b string, rb Report) bool {
+	if ra.Last != rb.Last {
+		return ra.Last > rb.Last
+	}
+	if ra.Position != rb.Position {
+		return ra.Position > rb.Position
+	}
+	ia, ib := v.instance(a), v.instance(b)
+	if ia.Leaving != ib.Leaving {
+		return ib.Leaving
+	}
+	return ia.Center == v.Home && ib.Center != v.Home
+}
+
+func (v View) instance(name string) Instance {
+	for _, in := range v.Instances {
+		if in.Name == name {
+			return in
+		}
+	}
+	return Instance{Name: name}
+}
--- /dev/null
+++ b/internal/control/leader/leader__groups.go
@@ -0,0 +1,147 @@
+package leader
+
+import (
+	"context"
+	"time"
+
+	"github.com/agatespindle/agatespindle/internal/backend/adapt"
+	"github.com/agatespindle/agatespindle/internal/base/wire"
+	"github.com/agatespindle/agatespindle/internal/control/group"
+	"github.com/agatespindle/agatespindle/internal/control/place"
+	"github.com/agatespindle/agatespindle/internal/control/spec"
+	"github.com/agatespindle/agatespindle/internal/control/state"
+)
+
+// suspectLife is how long an observer's view counts.
+const suspectLife = 2 * time.Second
+
+// failovers steps every group. The caller holds mu.
+func (l *Leader) failovers(ctx context.Context, now time.Time, s *state.State) {
+	instances := map[string][]group.Instance{}
+	addrs := map[string]string{}
+	for _, r := range s.List(spec.Backends) {
+		b := r.Backend
+		if b == nil {
+			continue
+		}
+		addrs[r.Name] = b.Addr
+		instances[b.Group] = append(instances[b.Group], group.Instance{Name: r.Name, Center: b.Center, Leaving: spec.Leaving(r.Spec)})
+	}
+	hosts := l.entries(now, s)
+	for _, r := range s.List(spec.Groups) {
+		v := l.view(now, r, instances[r.Name], hosts)
+		g := l.groups[r.Name]
+		if g == nil {
+			g = &group.Group{Options: l.Groups}
+			l.groups[r.Name] = g
+		}
+		for _, a := range g.Step(now, v) {
+			l.carryOut(ctx, r.Name, addrs, a)
+		}
+	}
+}
+
+// entries returns the entry hosts with a live lease. The caller holds mu.
+func (l *Leader) entries(now time.Time, s *state.State) []place.Host {
+	var list []place.Host
+	for _, h := range place.Entries(s.List(spec.Hosts)) {
+		if l.grantor.Live(now, h.Name) {
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
+func (l *Leader) view(now time.Time, r *wire.Resource, instances []group.Instance, hosts []place.Host) group.View {
+	declared := spec.ReadGroup(r.Spec)
+	run := r.Group
+	if run == nil {
+		run = &wire.GroupRun{}
+	}
+	return group.View{
+		Name: r.Name, Run: run, Size: declared.Size, Acks: declared.Acks, Home: declared.Home, Accept: declared.Accept,
+		Instances: instances, Reports: l.reports[r.Name],
+		Failed:   l.failed(now, r.Name, run, hosts),
+		Released: l.isReleased(now, r.Name, run),
+	}
+}
+
+// failed reports whether a majority of the observers that hold a lease, and at least two
+// where there are two, hold the primary for failed. The caller holds mu.
+func (l *Leader) failed(now time.Time, name string, run *wire.GroupRun, hosts []place.Host) bool {
+	observers := place.Observers(name, run.Holder, hosts)
+	votes := 0
+	for _, o := range observers {
+		s, known := l.suspects[name][o]
+		if known && s.failed && s.term == run.Term && now.Sub(s.at) < suspectLife {
+			votes++
+		}
+	}
+	return votes > 0 && votes >= len(observers)/2+1
+}
+
+// isReleased reports whether no host works for the group under a term before the one that
+// is sealed: each has said so or has no lease. The caller holds mu.
+func (l *Leader) isReleased(now time.Time, name string, run *wire.GroupRun) bool {
+	holders := run.Prior
+	if run.Holder != "" {
+		holders = append([]string{run.Holder}, run.Prior...)
+	}
+	for _, host := range holders {
+		if l.grantor.Expired(now, host) {
+			continue
+		}
+		if l.released[host][name].GetTerm() < run.Term {
+			return false
+		}
+	}
+	return true
+}
+
+// carryOut does what a group's step asks for. The caller holds mu.
+func (l *Leader) carryOut(ctx context.Context, name string, addrs map[string]string, a group.Action) {
+	switch a := a.(type) {
+	case group.Propose:
+		l.propose(ctx, "group "+name, a.Command)
+	case group.Fence:
+		l.order(ctx, name, a.Instance, addrs[a.Instance], func(ctx context.Context, s adapt.Server) (adapt.Status, error) {
+			return s.Fence(ctx, a.Term)
+		})
+	case group.Promote:
+		l.order(ctx, name, a.Instance, addrs[a.Instance], func(ctx context.Context, s adapt.Server) (adapt.Status, error) {
+			return s.Promote(ctx, a.Term, a.Start)
+		})
+	}
+}
+
+// order sends an order to a backend server and keeps what it answers. The caller holds mu.
+func (l *Leader) order(ctx context.Context, name, instance, addr string, send func(context.Context, adapt.Server) (adapt.Status, error)) {
+	if addr == "" {
+		return
+	}
+	term := l.term
+	l.background("order "+instance, func() {
+		ctx, cancel := context.WithTimeout(ctx, orderLimit)
+		defer cancel()
+		st, err := send(ctx, l.Server(addr))
+		if err != nil {
+			l.Log.WithError(err).WithField("instance", instance).Debug("order failed")
+			st, err = l.Server(addr).Status(ctx)
+		}
+		if err != nil || st.Name != instance {
+			return
+		}
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if l.term == term {
+			l.report(name, st)
+		}
+	})
+}
+
+func (l *Leader) report(name string, st adapt.Status) {
+	if l.reports[name] == nil {
+		l.reports[name] = map[string]group.Report{}
+	}
+	l.reports[name][st.Name] = group.Report{Term: st.Term, Last: st.Last, Position: st.Position, Primary: st.Primary}
+}
--- /dev/null
+++ b/internal/control/leader/leader__lease.go
@@ -0,0 +1,182 @@
+package leader
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/agatespindle/agatespindle/internal/base/fault"
+	"github.com/agatespindle/agatespindle/internal/base/link"
+	"github.com/agatespindle/agatespindle/internal/base/wire"
+	"github.com/agatespindle/agatespindle/internal/control/spec"
+	"github.com/agatespindle/agatespindle/internal/control/state"
+)
+
+// LeaseService is the name of the stream on which a host renews its lease and gets changes.
+const LeaseService = "lease"
+
+const grantLimit = 2 * time.Second
+
+// feed is the leader's side of one host's lease stream.
+type feed struct {
+	conn *link.Conn
+	host string
+	sent uint64
+	full bool
+}
+
+// ServeLease serves a host's lease stream; it is a link.Handler.
+func (l *Leader) ServeLease(ctx context.Context, host string, c *link.Conn) {
+	f := &feed{conn: c, host: host, full: true}
+	renewals := make(chan *wire.Renew, 1)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		defer cancel()
+		receive(ctx, c, renewals)
+	}()
+	for {
+		changed := l.Driver.Changes()
+		if !f.full && l.push(f) != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case r := <-renewals:
+			if l.renew(ctx, f, r) != nil {
+				return
+			}
+		case <-changed:
+		}
+	}
+}
+
+func receive(ctx context.Context, c *link.Conn, renewals chan<- *wire.Renew) {
+	for {
+		r := &wire.Renew{}
+		if c.Recv(r) != nil {
+			return
+		}
+		select {
+		case renewals <- r:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// renew answers one renewal. The lease is decided on with the time after the request came.
+func (l *Leader) renew(ctx context.Context, f *feed, r *wire.Renew) error {
+	g := &wire.Grant{Seq: r.Seq, Lease: uint64(l.Length)}
+	reason := l.decide(ctx, l.Now(), f.host, r)
+	if reason == fault.NoLeader {
+		g.Leader = l.Driver.Status().LeaderAddr
+	}
+	g.Granted = reason == ""
+	g.Reason = string(reason)
+	if reason != "" {
+		l.Meter.Refused(reason)
+	}
+	if f.full && reason != fault.NoLeader {
+		f.sent = r.Applied
+		f.full = false
+	}
+	l.fill(f, g)
+	return f.send(g)
+}
+
+func (l *Leader) decide(ctx context.Context, now time.Time, host string, r *wire.Renew) fault.Reason {
+	st := l.Driver.Status()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.leads(st) || r.Term > st.Term {
+		return fault.NoLeader
+	}
+	if reason := l.joined(ctx, now, host, r.Run); reason != "" {
+		return reason
+	}
+	l.note(now, host, r)
+	reason := l.grantor.Renew(now, st.LeaseUntil, host, r.Applied)
+	if len(r.Suspects)+len(r.Released) > 0 {
+		l.wake()
+	}
+	return reason
+}
+
+// joined makes sure that the host stands in the log as it is now; before that it gets no
+// lease. A process of the same name takes its place once the old one's lease has run out.
+func (l *Leader) joined(ctx context.Context, now time.Time, host string, run *wire.HostRun) fault.Reason {
+	var have *wire.HostRun
+	l.Driver.View(func(s *state.State) { have = s.Get(spec.Hosts, host).GetHost() })
+	if proto.Equal(have, run) && have != nil {
+		return ""
+	}
+	if have != nil && have.Instance != run.GetInstance() && !l.grantor.Expired(now, host) {
+		return fault.Conflict
+	}
+	l.propose(ctx, "join "+host, &wire.Command{Body: &wire.Command_Join{Join: &wire.Join{Host: host, Run: run}}})
+	if have.GetInstance() == run.GetInstance() {
+		return ""
+	}
+	l.grantor.Forget(host)
+	delete(l.released, host)
+	return fault.Behind
+}
+
+// note keeps what a renewal tells of primaries and of work that has ended.
+func (l *Leader) note(now time.Time, host string, r *wire.Renew) {
+	for _, s := range r.Suspects {
+		if l.suspects[s.Group] == nil {
+			l.suspects[s.Group] = map[string]suspect{}
+		}
+		l.suspects[s.Group][host] = suspect{term: s.Term, failed: s.Gone, at: now}
+	}
+	done := map[string]*wire.Released{}
+	for _, one := range r.Released {
+		done[one.Group] = one
+	}
+	l.released[host] = done
+}
+
+// push sends the changes since the last ones that were sent.
+func (l *Leader) push(f *feed) error {
+	g := &wire.Grant{}
+	l.fill(f, g)
+	if g.Revision <= f.sent && len(g.Changes) == 0 && !g.Reset_ {
+		return nil
+	}
+	return f.send(g)
+}
+
+// fill adds the changes after f.sent and the revision that the host has with them.
+func (l *Leader) fill(f *feed, g *wire.Grant) {
+	st := l.Driver.Status()
+	g.Term = st.Term
+	l.mu.Lock()
+	g.Inforce = l.inforce
+	l.mu.Unlock()
+	if f.full {
+		return
+	}
+	l.Driver.View(func(s *state.State) {
+		g.Since = f.sent
+		g.Revision = s.Revision()
+		changes, ok := s.Since(f.sent)
+		if f.sent == 0 || !ok {
+			g.Reset_ = true
+			changes = s.List("")
+		}
+		g.Changes = changes
+	})
+}
+
+func (f *feed) send(g *wire.Grant) error {
+	f.conn.SetDeadline(time.Now().Add(grantLimit * 10))
+	if err := f.conn.Send(g); err != nil {
+		return err
+	}
+	f.sent = max(f.sent, g.Revision)
+	return nil
+}
--- /dev/null
+++ b/internal/tools/cmds/apply.go
@@ -0,0 +1,93 @@
+package cmds
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/tailscale/hujson"
+
+	"github.com/agatespindle/agatespindle/internal/control/rest"
+)
+
+type applyCommand struct {
+	client
+	Wait  bool          `long:"wait" description:"wait until the change is in force everywhere"`
+	Limit time.Duration `long:"limit" default:"30s" description:"bound of --wait"`
+	Args  struct {
+		File string `positional-arg-name:"FILE" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// declared is a resource as a file holds it.
+type declared struct {
+	Kind    string          `json:"kind"`
+	Name    string          `json:"name"`
+	Version *uint64         `json:"version,omitempty"`
+	Spec    json.RawMessage `json:"spec"`
+}
+
+// Execute declares the resources of the file, one after another.
+func (c *applyCommand) Execute([]string) error {
+	list, err := c.read()
+	if err != nil {
+		return err
+	}
+	done := []rest.Resource{}
+	for _, d := range list {
+		r, err := c.apply(d)
+		if err != nil {
+			return err
+		}
+		done = append(done, r)
+	}
+	return c.print(done, func(w io.Writer) { printResources(w, done) })
+}
+
+func (c *applyCommand) read() ([]declared, error) {
+	b, err := c.source()
+	if err != nil {
+		return nil, exit(ExitUsage, "read resources: %w", err)
+	}
+	b, err = hujson.Standardize(b)
+	if err != nil {
+		return nil, exit(ExitUsage, "%s: %w", c.Args.File, err)
+	}
+	var list []declared
+	if json.Unmarshal(b, &list) == nil {
+		return list, nil
+	}
+	var one declared
+	if err := json.Unmarshal(b, &one); err != nil {
+		return nil, exit(ExitUsage, `%s: write {"kind": …, "name": …, "spec": {…}} or a list of such: %w`, c.Args.File, err)
+	}
+	return []declared{one}, nil
+}
+
+func (c *applyCommand) source() ([]byte, error) {
+	if c.Args.File == "-" {
+		return io.ReadAll(c.env.stdin)
+	}
+	return os.ReadFile(c.Args.File)
+}
+
+func (c *applyCommand) apply(d declared) (rest.Resource, error) {
+	if d.Kind == "" || d.Name == "" {
+		return rest.Resource{}, exit(ExitUsage, "each resource needs kind and name")
+	}
+	body, err := json.Marshal(d)
+	if err != nil {
+		return rest.Resource{}, err
+	}
+	var r rest.Resource
+	if err := c.call(http.MethodPut, d.Kind+"/"+d.Name, body, &r); err != nil {
+		return r, fmt.Errorf("%s %s: %w", d.Kind, d.Name, err)
+	}
+	if c.Wait {
+		return c.waitInForce(d.Kind, d.Name, r.Revision, c.Limit)
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/tools/cmds/client.go
@@ -0,0 +1,167 @@
+package cmds
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/agatespindle/agatespindle/internal/base/fault"
+	"github.com/agatespindle/agatespindle/internal/control/rest"
+)
+
+// client is the options of commands that talk to the API, and the talking.
+type client struct {
+	base
+	API    string `long:"api" env:"AGATESPINDLE_API" default:"127.0.0.1:6480" value-name:"ADDR" description:"API address of any host"`
+	Token  string `long:"token" env:"AGATESPINDLE_TOKEN" value-name:"FILE" description:"file with the operators' token"`
+	Output string `long:"output" short:"o" choice:"text" choice:"json" default:"text" description:"form of the output"`
+}
+
+const (
+	callLimit  = 15 * time.Second
+	resendStop = 3
+	waitPoll   = 50 * time.Millisecond
+)
+
+// request sends one request; the caller closes the body.
+func (c *client) request(ctx context.Context, method, path string, header http.Header, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.API+"/v1/"+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, exit(ExitUsage, "address %q: %w", c.API, err)
+	}
+	for name, v := range header {
+		req.Header[name] = v
+	}
+	if c.Token != "" {
+		b, err := os.ReadFile(c.Token)
+		if err != nil {
+			return nil, exit(ExitUsage, "read token: %w", err)
+		}
+		req.Header.Set("Authorization", "Bearer "+strings.TrimSpace(string(b)))
+	}
+	return http.DefaultClient.Do(req)
+}
+
+// call sends a request and decodes the answer into out. A change carries a request id and is
+// sent again when its answer is lost, which the API answers as the first time.
+func (c *client) call(method, path string, body []byte, out any) error {
+	header := http.Header{"Content-Type": {"application/json"}}
+	if method != http.MethodGet {
+		id := make([]byte, 12)
+		if _, err := rand.Read(id); err != nil {
+			return err
+		}
+		header.Set(rest.HeaderRequest, hex.EncodeToString(id))
+	}
+	var err error
+	for range resendStop {
+		var again bool
+		if again, err = c.once(method, path, header, body, out); !again {
+			return err
+		}
+	}
+	if method != http.MethodGet {
+		return &exitError{ExitUnknown, fmt.Errorf("outcome is unknown: %w; read the resource to see", err)}
+	}
+	return err
+}
+
+// once sends a request once; again tells that the answer was lost.
+func (c *client) once(method, path string, header http.Header, body []byte, out any) (again bool, err error) {
+	ctx, cancel := context.WithTimeout(c.env.ctx, callLimit)
+	defer cancel()
+	resp, err := c.request(ctx, method, path, header, body)
+	if err != nil {
+		var coded *exitError
+		return !errors.As(err, &coded) && c.env.ctx.Err() == nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= http.StatusBadRequest {
+		return refused(resp)
+	}
+	return false, json.NewDecoder(resp.Body).Decode(out)
+}
+
+// refused turns a problem into an error.
+func refused(resp *http.Response) (again bool, err error) {
+	var p rest.Problem
+	b, _ := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
+	if json.Unmarshal(b, &p) != nil {
+		return false, fmt.Errorf("API answered %s", resp.Status)
+	}
+	text := fmt.Sprintf("%s (%s, %s)", p.Detail, p.Reason, p.Verdict)
+	if p.Fields != nil {
+		fields, _ := json.Marshal(p.Fields)
+		text += ": " + string(fields)
+	}
+	if p.Verdict == fault.MayHaveRun.String() {
+		return true, errors.New(text)
+	}
+	return false, &exitError{ExitRefused, errors.New(text)}
+}
+
+// print shows a value as JSON, or by text.
+func (c *client) print(v any, text func(w io.Writer)) error {
+	if c.Output == "json" {
+		enc := json.NewEncoder(c.env.stdout)
+		enc.SetIndent("", "  ")
+		return enc.Encode(v)
+	}
+	w := tabwriter.NewWriter(c.env.stdout, 0, 8, 2, ' ', 0)
+	text(w)
+	return w.Flush()
+}
+
+func printResources(w io.Writer, list []rest.Resource) {
+	fmt.Fprintln(w, "KIND\tNAME\tVERSION\tREVISION\tIN FORCE\tSTATUS")
+	for _, r := range list {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%v\t%s\n", r.Kind, r.Name, r.Version, r.Revision, r.Status.InForce, summary(r))
+	}
+}
+
+func summary(r rest.Resource) string {
+	switch st := r.Status; {
+	case st.Group != nil:
+		g := st.Group
+		text := fmt.Sprintf("%s term=%d primary=%s holder=%s", g.Phase, g.Term, g.Primary, g.Holder)
+		if g.Waiting != nil {
+			text += fmt.Sprintf(" waiting: %d of %d answers, released=%v", g.Waiting.Answers, g.Waiting.Needed, g.Waiting.Released)
+		}
+		return text
+	case st.Backend != nil:
+		return fmt.Sprintf("group=%s addr=%s center=%s %s", st.Backend.Group, st.Backend.Address, st.Backend.Center, r.Spec)
+	case st.Host != nil:
+		return fmt.Sprintf("center=%s roles=%s lease=%s applied=%d", st.Host.Center, strings.Join(st.Host.Roles, ","), st.Host.Lease, st.Host.Applied)
+	}
+	return string(r.Spec)
+}
+
+// waitInForce waits until a revision of a resource is in force.
+func (c *client) waitInForce(kind, name string, revision uint64, limit time.Duration) (rest.Resource, error) {
+	deadline := time.Now().Add(limit)
+	for {
+		var r rest.Resource
+		err := c.call(http.MethodGet, kind+"/"+name, nil, &r)
+		if err == nil && r.Status.InForce && r.Revision >= revision {
+			return r, nil
+		}
+		if time.Now().After(deadline) {
+			return r, exit(ExitFailed, "%s %s: revision %d is accepted but not in force after %s", kind, name, revision, limit)
+		}
+		select {
+		case <-c.env.ctx.Done():
+			return r, c.env.ctx.Err()
+		case <-time.After(waitPoll):
+		}
+	}
+}
--- /dev/null
+++ b/internal/tools/cmds/cmds.go
@@ -0,0 +1,109 @@
+// Package cmds provides the command line: one file for each command.
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// The exit codes of all commands.
+const (
+	// ExitOK tells that the command did what was asked.
+	ExitOK = 0
+	// ExitFailed tells that it failed, with no effect left.
+	ExitFailed = 1
+	// ExitUsage tells of mistakes in the command line or the settings; nothing was started.
+	ExitUsage = 2
+	// ExitRefused tells that the API refused a change; it has no effect.
+	ExitRefused = 3
+	// ExitUnknown tells that a change may or may not have been accepted.
+	ExitUnknown = 4
+)
+
+// env is what commands work with.
+type env struct {
+	ctx    context.Context
+	stdin  io.Reader
+	stdout io.Writer
+	stderr io.Writer
+}
+
+// exitError is an error with the exit code that it stands for.
+type exitError struct {
+	code int
+	err  error
+}
+
+// Error returns the text.
+func (e *exitError) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *exitError) Unwrap() error { return e.err }
+
+func exit(code int, format string, args ...any) error {
+	return &exitError{code, fmt.Errorf(format, args...)}
+}
+
+// root is all commands. Each has its options in a type of its own.
+type root struct {
+	Run     runCommand     `command:"run" description:"Run this host's roles" long-description:"Runs the host that the settings describe, until SIGINT or SIGTERM; then it drains.\n\nExample: agatespindle run --config /etc/agatespindle.json"`
+	Check   checkCommand   `command:"check" description:"Check a settings file" long-description:"Lists every mistake with line and column; exit code 2 if there is one.\n\nExample: agatespindle check /etc/agatespindle.json"`
+	Get     getCommand     `command:"get" description:"Show resources" long-description:"Kinds: services, groups, callers, backendservers, hosts.\n\nExamples:\n  agatespindle get groups\n  agatespindle get groups parts-ledger -o json"`
+	Apply   applyCommand   `command:"apply" description:"Declare resources from a file" long-description:"The file holds one resource or a list, as JSON with comments; - reads standard input. A version in it is the one that the change expects.\n\nExample: agatespindle apply --wait groups.json"`
+	Delete  deleteCommand  `command:"delete" description:"Delete a resource" long-description:"Example: agatespindle delete callers reports"`
+	Watch   watchCommand   `command:"watch" description:"Watch resources" long-description:"Prints each change until interrupted.\n\nExample: agatespindle watch groups parts-ledger"`
+	Status  statusCommand  `command:"status" description:"Show the control quorum" long-description:"Example: agatespindle status"`
+	Dev     devCommand     `command:"dev" description:"Run a whole deployment in one process" long-description:"Runs three control hosts, two entry hosts and a group of three stand-in backend servers on loopback, with the database parts-ledger. Prints one JSON line once callers are served.\n\nExample: agatespindle dev --caller-port 6432"`
+	Standin standinCommand `command:"standin" description:"Run one stand-in backend server" long-description:"Serves development and tests.\n\nExample: agatespindle standin --name a --group parts-ledger --listen 127.0.0.1:7001 --data /tmp/a --host 127.0.0.1:6480"`
+	Version versionCommand `command:"version" description:"Show version and build" long-description:"Example: agatespindle version -o json"`
+}
+
+// Execute runs the command line and returns the exit code.
+func Execute(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	e := &env{ctx: ctx, stdin: stdin, stdout: stdout, stderr: stderr}
+	r := &root{}
+	for _, c := range []interface{ use(*env) }{&r.Run, &r.Check, &r.Get, &r.Apply, &r.Delete, &r.Watch, &r.Status, &r.Dev, &r.Standin, &r.Version} {
+		c.use(e)
+	}
+	parser := flags.NewNamedParser("agatespindle", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "Exit codes: 0 done; 1 failed; 2 mistakes in settings or usage; 3 refused by the API; 4 outcome unknown."
+	if _, err := parser.AddGroup("Commands", "", r); err != nil {
+		fmt.Fprintln(stderr, err)
+		return ExitFailed
+	}
+	_, err := parser.ParseArgs(args)
+	return report(err, stdout, stderr)
+}
+
+func report(err error, stdout, stderr io.Writer) int {
+	var usage *flags.Error
+	var coded *exitError
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		fmt.Fprintln(stdout, usage.Message)
+		return ExitOK
+	case errors.As(err, &usage):
+		fmt.Fprintln(stderr, usage.Message)
+		return ExitUsage
+	case errors.As(err, &coded):
+		fmt.Fprintln(stderr, coded.Error())
+		return coded.code
+	}
+	fmt.Fprintln(stderr, err)
+	return ExitFailed
+}
+
+// base is embedded in each command.
+type base struct{ env *env }
+
+func (b *base) use(e *env) { b.env = e }
--- /dev/null
+++ b/internal/tools/cmds/dev.go
@@ -0,0 +1,227 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/agatespindle/agatespindle/internal/backend/stand"
+	"github.com/agatespindle/agatespindle/internal/base/conf"
+	"github.com/agatespindle/agatespindle/internal/control/rest"
+	"github.com/agatespindle/agatespindle/internal/tools/host"
+)
+
+const (
+	devHosts     = 5
+	devControl   = 3
+	devInstances = 3
+	devGroup     = "parts-ledger"
+	devLimit     = 30 * time.Second
+	devPoll      = 50 * time.Millisecond
+)
+
+var devCenters = []string{"kingston", "spanish-town", "may-pen"}
+
+type devCommand struct {
+	base
+	Address    string `long:"address" default:"127.0.0.1" description:"address to listen on"`
+	CallerPort int    `long:"caller-port" default:"6432" description:"port for callers of the first entry host; the second has the next port"`
+	APIPort    int    `long:"api-port" default:"6480" description:"port of the API of the first host"`
+	Data       string `long:"data" value-name:"DIR" description:"folder for all files; without one a temporary folder is used and removed"`
+	Verbose    bool   `long:"verbose" description:"log to standard error"`
+}
+
+// Execute runs the deployment until it is interrupted.
+func (c *devCommand) Execute([]string) error {
+	dir, remove, err := c.folder()
+	if err != nil {
+		return err
+	}
+	defer remove()
+	configs, err := c.configs(dir)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ended := make(chan error, devHosts+devInstances)
+	n, err := c.startAll(ctx, configs, dir, ended)
+	if err != nil {
+		return err
+	}
+	if err := c.announceReady(configs); err == nil {
+		select {
+		case <-c.env.ctx.Done():
+		case err = <-ended:
+			n--
+		}
+	} else {
+		fmt.Fprintln(c.env.stderr, err)
+	}
+	cancel()
+	for range n {
+		if e := <-ended; err == nil {
+			err = e
+		}
+	}
+	return err
+}
+
+func (c *devCommand) folder() (string, func(), error) {
+	if c.Data != "" {
+		return c.Data, func() {}, nil
+	}
+	dir, err := os.MkdirTemp("", "agatespindle-dev-")
+	return dir, func() { os.RemoveAll(dir) }, err
+}
+
+// configs returns the settings of all hosts: the first ones control, the last two entry.
+func (c *devCommand) configs(dir string) ([]conf.Config, error) {
+	ports, err := freePorts(c.Address, 2*devHosts)
+	if err != nil {
+		return nil, err
+	}
+	addr := func(port int) string { return net.JoinHostPort(c.Address, strconv.Itoa(port)) }
+	var peers []conf.Peer
+	for i := range devControl {
+		peers = append(peers, conf.Peer{Host: fmt.Sprintf("host-%d", i+1), Link: addr(ports[i])})
+	}
+	var list []conf.Config
+	for i := range devHosts {
+		cfg := conf.Default()
+		cfg.Host = fmt.Sprintf("host-%d", i+1)
+		cfg.Center = devCenters[i%len(devCenters)]
+		cfg.Roles = []conf.Role{conf.Control}
+		cfg.Data = filepath.Join(dir, cfg.Host)
+		cfg.Link = addr(ports[i])
+		cfg.API = addr(ports[devHosts+i])
+		cfg.Control = peers
+		cfg.Drain = conf.Span(3 * time.Second)
+		if i >= devControl {
+			cfg.Roles = []conf.Role{conf.Entry}
+			cfg.Caller = addr(c.CallerPort + i - devControl)
+		}
+		list = append(list, cfg)
+	}
+	list[0].API = addr(c.APIPort)
+	return list, nil
+}
+
+// freePorts returns ports that were free a moment ago.
+func freePorts(address string, n int) ([]int, error) {
+	var ports []int
+	for range n {
+		ln, err := net.Listen("tcp", net.JoinHostPort(address, "0"))
+		if err != nil {
+			return nil, err
+		}
+		defer ln.Close()
+		ports = append(ports, ln.Addr().(*net.TCPAddr).Port)
+	}
+	return ports, nil
+}
+
+// startAll starts hosts and instances; it returns how many ends to wait for.
+func (c *devCommand) startAll(ctx context.Context, configs []conf.Config, dir string, ended chan<- error) (int, error) {
+	n := 0
+	out := io.Discard
+	if c.Verbose {
+		out = c.env.stderr
+	}
+	for _, cfg := range configs {
+		h, err := host.New(host.Options{Config: cfg, Log: out})
+		if err != nil {
+			return n, err
+		}
+		n++
+		go func() { ended <- h.Run(ctx) }()
+	}
+	for i := range devInstances {
+		ln, err := net.Listen("tcp", net.JoinHostPort(c.Address, "0"))
+		if err != nil {
+			return n, err
+		}
+		name := fmt.Sprintf("%s-%c", devGroup, 'a'+i)
+		in, err := stand.New(stand.Config{
+			Name: name, Group: devGroup, Center: devCenters[i], Listener: ln, Dir: filepath.Join(dir, name),
+			Hosts: []string{configs[0].API, configs[3].API, configs[4].API}, Slots: stand.DefaultSlots,
+			Connections: stand.DefaultConnections, ConnectCost: stand.DefaultConnectCost,
+		})
+		if err != nil {
+			return n, err
+		}
+		n++
+		go func() { ended <- <-in.Run(ctx) }()
+	}
+	return n, nil
+}
+
+// devReady is the line that tells that callers are served.
+type devReady struct {
+	Event    string   `json:"event"`
+	Caller   string   `json:"caller"`
+	Callers  []string `json:"callers"`
+	API      string   `json:"api"`
+	Database string   `json:"database"`
+}
+
+// announceReady declares the group and prints one line once callers are served.
+func (c *devCommand) announceReady(configs []conf.Config) error {
+	entries := configs[devControl:]
+	cl := &client{base: c.base, API: configs[0].API}
+	deadline := time.Now().Add(devLimit)
+	for {
+		err := c.declare(cl)
+		if err == nil {
+			err = c.served(entries)
+		}
+		if err == nil {
+			return json.NewEncoder(c.env.stdout).Encode(devReady{
+				Event: "ready", Caller: entries[0].Caller, Callers: []string{entries[0].Caller, entries[1].Caller},
+				API: configs[0].API, Database: devGroup,
+			})
+		}
+		if time.Now().After(deadline) {
+			return fmt.Errorf("callers are not served after %s: %w", devLimit, err)
+		}
+		select {
+		case <-c.env.ctx.Done():
+			return c.env.ctx.Err()
+		case <-time.After(devPoll):
+		}
+	}
+}
+
+func (c *devCommand) declare(cl *client) error {
+	var r rest.Resource
+	if err := cl.call(http.MethodPut, "groups/"+devGroup, []byte(`{"spec":{"size":3,"acks":2,"home":"kingston"}}`), &r); err != nil {
+		return err
+	}
+	return cl.call(http.MethodPut, "services/"+devGroup, []byte(`{"spec":{"groups":["`+devGroup+`"]}}`), &r)
+}
+
+// served runs a statement through each entry host.
+func (c *devCommand) served(entries []conf.Config) error {
+	for _, cfg := range entries {
+		ctx, cancel := context.WithTimeout(c.env.ctx, 2*time.Second)
+		conn, err := pgconn.Connect(ctx, fmt.Sprintf("postgres://dev@%s/%s?sslmode=disable", cfg.Caller, devGroup))
+		if err == nil {
+			_, err = conn.Exec(ctx, "SELECT 1").ReadAll()
+			conn.Close(ctx)
+		}
+		cancel()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/tools/cmds/watch.go
@@ -0,0 +1,69 @@
+package cmds
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+
+	"github.com/agatespindle/agatespindle/internal/control/rest"
+)
+
+type watchCommand struct {
+	client
+	From string `long:"from" value-name:"REVISION" description:"go on after this revision"`
+	Args struct {
+		Kind string `positional-arg-name:"KIND" required:"yes"`
+		Name string `positional-arg-name:"NAME"`
+	} `positional-args:"yes"`
+}
+
+// Execute prints events until it is interrupted.
+func (c *watchCommand) Execute([]string) error {
+	query := url.Values{"watch": {"1"}}
+	if c.From != "" {
+		query.Set("from", c.From)
+	}
+	if c.Args.Name != "" {
+		query.Set("name", c.Args.Name)
+	}
+	resp, err := c.request(c.env.ctx, http.MethodGet, c.Args.Kind+"?"+query.Encode(), nil, nil)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode >= http.StatusBadRequest {
+		_, err := refused(resp)
+		return err
+	}
+	lines := bufio.NewReader(resp.Body)
+	for {
+		line, err := lines.ReadBytes('\n')
+		if err != nil {
+			if c.env.ctx.Err() != nil {
+				return nil
+			}
+			return fmt.Errorf("watch ended: %w", err)
+		}
+		if err := c.show(line); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *watchCommand) show(line []byte) error {
+	if c.Output == "json" {
+		_, err := c.env.stdout.Write(line)
+		return err
+	}
+	var e rest.Event
+	if err := json.Unmarshal(line, &e); err != nil {
+		return fmt.Errorf("decode event: %w", err)
+	}
+	if e.Resource == nil {
+		return nil
+	}
+	_, err := fmt.Fprintf(c.env.stdout, "%-8s revision=%d %s %s %s\n", e.Type, e.Revision, e.Resource.Kind, e.Resource.Name, summary(*e.Resource))
+	return err
+}
--- /dev/null
+++ b/internal/traffic/holder/pool.go
@@ -0,0 +1,326 @@
+package holder
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/agatespindle/agatespindle/internal/backend/adapt"
+	"github.com/agatespindle/agatespindle/internal/base/fault"
+	"github.com/agatespindle/agatespindle/internal/base/wire"
+	"github.com/agatespindle/agatespindle/internal/control/group"
+	"github.com/agatespindle/agatespindle/internal/control/spec"
+	"github.com/agatespindle/agatespindle/internal/traffic/route"
+	"github.com/agatespindle/agatespindle/internal/traffic/token"
+)
+
+const (
+	// drainGrace is how long transactions may go on when a primary or a holder leaves.
+	drainGrace = 2 * time.Second
+	// ageKeep is how far back the ages of positions are known.
+	ageKeep = 10 * time.Minute
+	// followInterval is the time between two orders to follow.
+	followInterval = 200 * time.Millisecond
+)
+
+// pool is a group's connections, queues and positions on its holder.
+type pool struct {
+	h      *Holder
+	group  string
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu       sync.Mutex
+	changed  chan struct{}
+	run      *wire.GroupRun
+	declared spec.Group
+	servers  map[string]*server
+	active   bool
+	closed   bool
+	retired  time.Time
+	sealed   time.Time
+	acked    token.Mark
+	settled  uint64
+	ages     route.Ages
+	failed   bool
+	works    int
+	writing  int
+	keyed    int
+}
+
+func newPool(h *Holder, group string) *pool {
+	ctx, cancel := context.WithCancel(h.ctx)
+	return &pool{
+		h: h, group: group, ctx: ctx, cancel: cancel, changed: make(chan struct{}),
+		servers: map[string]*server{}, ages: route.Ages{Keep: ageKeep},
+	}
+}
+
+// update takes in the group's latest state.
+func (p *pool) update(now time.Time, r *wire.Resource, instances []*wire.Resource) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.retired = time.Time{}
+	p.declared = spec.ReadGroup(r.Spec)
+	p.enter(now, r.Group)
+	p.active = len(r.Group.Prior) == 0
+	seen := map[string]bool{}
+	for _, in := range instances {
+		seen[in.Name] = true
+		p.updateServer(in)
+	}
+	for name, s := range p.servers {
+		if !seen[name] {
+			s.close()
+			delete(p.servers, name)
+		}
+	}
+	p.follow(now)
+	p.expire(now)
+	p.settle()
+	p.noteFailure(now)
+	p.notify()
+}
+
+// enter takes in a new term or phase.
+func (p *pool) enter(now time.Time, run *wire.GroupRun) {
+	old := p.run
+	p.run = run
+	if old.GetTerm() == run.Term && old.GetPhase() == run.Phase {
+		return
+	}
+	if old.GetTerm() != run.Term {
+		p.sealed = now
+		p.ages.Reset()
+	}
+	if run.Phase == wire.Phase_OPEN || run.Phase == wire.Phase_CHOSEN {
+		p.raise(token.Mark{Term: run.Term, Position: run.Start})
+	}
+	if run.Phase == wire.Phase_OPEN {
+		p.h.Meter.Add("group.opened", 1)
+	}
+}
+
+// raise moves the mark of acknowledged writes forward.
+func (p *pool) raise(m token.Mark) {
+	if p.acked.Before(m) {
+		p.acked = m
+	}
+}
+
+func (p *pool) updateServer(in *wire.Resource) {
+	s := p.servers[in.Name]
+	if s == nil || s.addr != in.Backend.Addr || s.instance != in.Backend.Instance {
+		if s != nil {
+			s.close()
+		}
+		s = newServer(p, in)
+		p.servers[in.Name] = s
+	}
+	s.leaving = spec.Leaving(in.Spec)
+	s.queue.Slots = p.declared.Slots
+	s.limit = p.declared.Connections
+}
+
+// settle notes the position that a new holder starts from: what the primary had, after all
+// holders before had stopped. No write that was acknowledged is beyond it.
+func (p *pool) settle() {
+	if !p.active || p.run.Phase != wire.Phase_OPEN || p.settled == p.run.Held {
+		return
+	}
+	s := p.servers[p.run.Primary]
+	if s == nil || s.settling {
+		return
+	}
+	s.settling = true
+	held, term := p.run.Held, p.run.Term
+	p.h.wg.Add(1)
+	go func() {
+		defer p.h.wg.Done()
+		ctx, cancel := context.WithTimeout(p.ctx, time.Second)
+		defer cancel()
+		st, err := s.adapter.Status(ctx)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		s.settling = false
+		if err != nil || !st.Primary || st.Term != term || p.run.Term != term || p.run.Held != held {
+			return
+		}
+		p.raise(token.Mark{Term: term, Position: st.Position})
+		p.settled = held
+		p.notify()
+	}()
+}
+
+// follow orders servers that do not follow the primary of the open term to do so.
+func (p *pool) follow(now time.Time) {
+	primary := p.servers[p.run.Primary]
+	if p.run.Phase != wire.Phase_OPEN || primary == nil || !p.active {
+		return
+	}
+	f := adapt.Following{Term: p.run.Term, Primary: p.run.Primary, Addr: primary.addr}
+	for _, fork := range p.run.Forks {
+		f.Forks = append(f.Forks, adapt.Fork{Term: fork.Term, Position: fork.Position})
+	}
+	for _, s := range p.servers {
+		st, known := s.probe.Status()
+		if s == primary || !known || (st.Term == p.run.Term && st.Following) || now.Sub(s.ordered) < followInterval {
+			continue
+		}
+		s.ordered = now
+		p.h.wg.Add(1)
+		go func() {
+			defer p.h.wg.Done()
+			ctx, cancel := context.WithTimeout(p.ctx, time.Second)
+			defer cancel()
+			if _, err := s.adapter.Follow(ctx, f); err != nil {
+				p.h.Log.WithError(err).WithField("instance", s.name).Debug("order to follow failed")
+			}
+		}()
+	}
+}
+
+// noteFailure tells control at once when the primary's failure is noticed or over.
+func (p *pool) noteFailure(now time.Time) {
+	s := p.servers[p.run.Primary]
+	failed := s != nil && s.probe.Failed(now)
+	if failed != p.failed {
+		p.failed = failed
+		p.h.Agent.Kick()
+	}
+}
+
+func (p *pool) primaryFailed(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.run == nil {
+		return false
+	}
+	s := p.servers[p.run.Primary]
+	return s != nil && s.probe.Failed(now)
+}
+
+// notify wakes all that wait for a change. The caller holds mu.
+func (p *pool) notify() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// seen takes in a status; it is called by probes.
+func (p *pool) seen() {
+	now := p.h.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.run == nil {
+		return
+	}
+	if s := p.servers[p.run.Primary]; s != nil && p.run.Phase == wire.Phase_OPEN {
+		if st, ok := s.probe.Status(); ok && st.Primary && st.Term == p.run.Term {
+			p.ages.Saw(now, st.Position)
+		}
+	}
+	p.noteFailure(now)
+	p.settle()
+	p.notify()
+}
+
+// open opens a unit of work. The holder's mutex is held.
+func (p *pool) open(w *wire.Work) *Work {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.works++
+	return &Work{pool: p, req: w}
+}
+
+// retire stops new work for another holder. It reports true once the pool may close.
+func (p *pool) retire(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.retired.IsZero() {
+		p.retired = now
+		p.notify()
+	}
+	return p.works == 0 || now.Sub(p.retired) > drainGrace
+}
+
+func (p *pool) retiring() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.retired.IsZero() || p.closed
+}
+
+// close ends all connections and whatever waits.
+func (p *pool) close() {
+	p.cancel()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, s := range p.servers {
+		s.close()
+	}
+	p.notify()
+}
+
+// doneBefore reports whether no write under a term before this one will be acknowledged. When
+// the primary leaves by plan, writes in flight end first, within a grace.
+func (p *pool) doneBefore(now time.Time, term uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.run.GetTerm() < term {
+		return false
+	}
+	return !p.lame(now) || p.writing == 0
+}
+
+// lame reports whether writes of the sealed term may still end. The caller holds mu.
+func (p *pool) lame(now time.Time) bool {
+	return p.run.Phase == wire.Phase_SEALED && p.run.Reason == group.Leaving && now.Sub(p.sealed) < drainGrace
+}
+
+// writable reports whether a write of a term may be acknowledged. The caller holds mu.
+func (p *pool) writable(now time.Time, term uint64) bool {
+	if p.closed || !p.h.Agent.Valid(now) {
+		return false
+	}
+	if p.run.Term == term && p.run.Phase == wire.Phase_OPEN {
+		return true
+	}
+	return p.run.Term == term+1 && p.lame(now)
+}
+
+// replicated waits until enough servers hold a write, and notes it as acknowledged. The
+// position of a replica counts only while it follows the write's own term.
+func (p *pool) replicated(ctx context.Context, m token.Mark) error {
+	for {
+		p.mu.Lock()
+		now := p.h.Now()
+		if !p.writable(now, m.Term) {
+			p.mu.Unlock()
+			return fault.New(fault.MayHaveRun, fault.NotReplicated, "primary was replaced before a replica confirmed the write")
+		}
+		if p.copies(m) >= p.declared.Acks {
+			p.raise(m)
+			p.mu.Unlock()
+			return nil
+		}
+		changed := p.changed
+		p.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return fault.New(fault.MayHaveRun, fault.NotReplicated, "no replica confirmed the write in time")
+		}
+	}
+}
+
+// copies returns the number of servers that hold a write, the primary included.
+func (p *pool) copies(m token.Mark) int {
+	n := 1
+	for _, s := range p.servers {
+		st, known := s.probe.Status()
+		if known && s.name != p.run.Primary && st.Following && st.Term == m.Term && st.Position >= m.Position {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/traffic/probe/probe.go
@@ -0,0 +1,121 @@
+// Package probe provides the watch over one backend server: its latest status, and whether
+// it counts as failed.
+package probe
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/agatespindle/agatespindle/internal/backend/adapt"
+)
+
+const (
+	redialPause = 50 * time.Millisecond
+	// refusals is the number of refused connections in a row that count as a failure: the
+	// host answers, and nothing listens there.
+	refusals = 3
+)
+
+// Probe watches a backend server. The exported fields are set before Run.
+type Probe struct {
+	Server adapt.Server
+	// Silence is how long a server must be silent to count as failed.
+	Silence time.Duration
+	// Now returns the present time; it is a seam for tests.
+	Now func() time.Time
+	// Seen, where set, is called after each status and after each change of Failed's causes.
+	Seen func()
+
+	mu      sync.Mutex
+	status  adapt.Status
+	known   bool
+	heard   time.Time
+	started time.Time
+	refused int
+}
+
+// Run watches until ctx ends; the end is reported on the channel.
+func (p *Probe) Run(ctx context.Context) <-chan error {
+	p.started = p.Now()
+	done := make(chan error, 1)
+	go func() {
+		for ctx.Err() == nil {
+			p.ended(p.watch(ctx))
+			select {
+			case <-ctx.Done():
+			case <-time.After(redialPause):
+			}
+		}
+		done <- nil
+	}()
+	return done
+}
+
+// watch follows one stream; a stream that falls silent is given up and opened anew.
+func (p *Probe) watch(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	idle := time.AfterFunc(p.Silence, cancel)
+	defer idle.Stop()
+	return p.Server.Watch(ctx, func(s adapt.Status) {
+		idle.Reset(p.Silence)
+		p.saw(s)
+	})
+}
+
+func (p *Probe) saw(s adapt.Status) {
+	p.mu.Lock()
+	p.status = s
+	p.known = true
+	p.heard = p.Now()
+	p.refused = 0
+	p.mu.Unlock()
+	if p.Seen != nil {
+		p.Seen()
+	}
+}
+
+func (p *Probe) ended(err error) {
+	p.mu.Lock()
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		p.refused++
+	} else {
+		p.refused = 0
+	}
+	p.mu.Unlock()
+	if p.Seen != nil {
+		p.Seen()
+	}
+}
+
+// Status returns the latest status; false before the first one.
+func (p *Probe) Status() (adapt.Status, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.status, p.known
+}
+
+// Alive reports whether the server was heard a short time ago.
+func (p *Probe) Alive(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.known && p.refused == 0 && now.Sub(p.heard) < p.Silence
+}
+
+// Failed reports whether the server counts as failed: silent for long, or refusing
+// connections several times in a row. A slow server still sends its status.
+func (p *Probe) Failed(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.refused >= refusals {
+		return true
+	}
+	last := p.started
+	if p.known {
+		last = p.heard
+	}
+	return now.Sub(last) >= p.Silence
+}
--- /dev/null
+++ b/internal/traffic/retry/retry.go
@@ -0,0 +1,47 @@
+// Package retry provides the limits of retries: a budget that grows with successes, and
+// pauses with jitter.
+package retry
+
+import "time"
+
+// Budget lets retries be a share of the requests: each request earns a part of a retry.
+// (Beyer et al., "Site Reliability Engineering", 2016, chapter 21.)
+// It is not safe for concurrent use.
+type Budget struct {
+	// Share is the number of retries that a request earns.
+	Share float64
+	// Most is the number of retries that are kept at most; a budget starts with them.
+	Most float64
+
+	spent float64
+}
+
+// Earn counts a request.
+func (b *Budget) Earn() { b.spent = max(0, b.spent-b.Share) }
+
+// Take takes one retry; it reports false where the budget has none.
+func (b *Budget) Take() bool {
+	if b.spent+1 > b.Most {
+		return false
+	}
+	b.spent++
+	return true
+}
+
+// Backoff returns pauses that double up to a limit, each with full jitter (Brooker,
+// "Exponential backoff and jitter", 2015).
+type Backoff struct {
+	First time.Duration
+	Limit time.Duration
+	// Jitter returns a duration in [0, n); it comes from an injected source.
+	Jitter func(n time.Duration) time.Duration
+}
+
+// Pause returns the pause before the retry n, which counts from zero.
+func (b Backoff) Pause(n int) time.Duration {
+	d := b.Limit
+	if n < 16 {
+		d = min(b.First<<n, b.Limit)
+	}
+	return d/2 + b.Jitter(d/2+1)
+}
