failover: Count only suspicions of the primary that is in place

Cause: an observer whose probe still watched the replaced primary reported it under the new term, so the new primary was failed over at once; and a suspicion stayed for 2 s after its observer had taken it back. Found by: a whole-path test that demands one new term for one failure. Ruled out: the damping (it only hid this, at 0.9 s a failover) and the silence of 700 ms. Change: a suspicion names term and primary as the probe had them, and each renewal replaces what the one before told. Writes under way on a replaced primary are cut at once: a frozen one held six sessions for their 5 s timeout. Damping starts only after five failovers in a minute.

--- a/internal/control/group/group.go
+++ b/internal/control/group/group.go
@@ -22,8 +22,8 @@
 type Options struct {
 	// Resend is after how long an order to an instance is sent again.
 	Resend time.Duration
-	// Settle is the least time between two failovers of a group; it doubles with each
-	// failover that follows another closely.
+	// Settle is the least time between two failovers of a group once several have followed
+	// each other closely; it doubles with each further one.
 	Settle time.Duration
 }
 
@@ -104,6 +104,7 @@
 	proposed time.Time
 	opened   time.Time
 	settle   time.Duration
+	streak   int
 }
 
 // Step returns the orders that follow from a view. It is called whenever something changed
@@ -144,12 +145,18 @@
 // maxSettle bounds the damping.
 const maxSettle = 30 * time.Second
 
-// damp doubles the time to the next failover while they follow each other closely.
+// freeFailovers is the number of failovers in a row that are not damped.
+const freeFailovers = 5
+
+// damp doubles the time to the next failover once several have followed each other closely.
 func (g *Group) damp(now time.Time) {
 	if g.opened.IsZero() || now.Sub(g.opened) > dampSpan {
-		g.settle = g.Options.Settle
-	} else {
-		g.settle = min(2*g.settle, maxSettle)
+		g.settle = 0
+		g.streak = 0
+	}
+	g.streak++
+	if g.streak > freeFailovers {
+		g.settle = min(max(2*g.settle, g.Options.Settle), maxSettle)
 	}
 	g.opened = now
 }
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -48,7 +48,8 @@
 	grantor  *lease.Grantor
 	groups   map[string]*group.Group
 	reports  map[string]map[string]group.Report
-	suspects map[string]map[string]suspect
+	// suspects are the primaries that each host holds for failed, by host and group.
+	suspects map[string]map[string]*wire.Suspect
 	released map[string]map[string]*wire.Released
 	absent   map[string]time.Time
 	busy     map[string]bool
@@ -58,13 +59,6 @@
 	wg       sync.WaitGroup
 }
 
-// suspect is one observer's latest view of a primary.
-type suspect struct {
-	term   uint64
-	failed bool
-	at     time.Time
-}
-
 // Prepare makes the leader ready for streams and calls; Run must follow.
 func (l *Leader) Prepare() {
 	l.kick = make(chan struct{}, 1)
@@ -78,7 +72,7 @@
 	l.grantor = &lease.Grantor{Length: l.Length, Elected: elected}
 	l.groups = map[string]*group.Group{}
 	l.reports = map[string]map[string]group.Report{}
-	l.suspects = map[string]map[string]suspect{}
+	l.suspects = map[string]map[string]*wire.Suspect{}
 	l.released = map[string]map[string]*wire.Released{}
 	l.absent = map[string]time.Time{}
 	l.busy = map[string]bool{}
--- a/internal/control/leader/leader__groups.go
+++ b/internal/control/leader/leader__groups.go
@@ -12,9 +12,6 @@
 	"github.com/agatespindle/agatespindle/internal/control/state"
 )
 
-// suspectLife is how long an observer's view counts.
-const suspectLife = 2 * time.Second
-
 // failovers steps every group. The caller holds mu.
 func (l *Leader) failovers(ctx context.Context, now time.Time, s *state.State) {
 	instances := map[string][]group.Instance{}
@@ -61,19 +58,19 @@
 	return group.View{
 		Name: r.Name, Run: run, Size: declared.Size, Acks: declared.Acks, Home: declared.Home, Accept: declared.Accept,
 		Instances: instances, Reports: l.reports[r.Name],
-		Failed:   l.failed(now, r.Name, run, hosts),
+		Failed:   l.failed(r.Name, run, hosts),
 		Released: l.isReleased(now, r.Name, run),
 	}
 }
 
-// failed reports whether a majority of the observers that hold a lease, and at least two
-// where there are two, hold the primary for failed. The caller holds mu.
-func (l *Leader) failed(now time.Time, name string, run *wire.GroupRun, hosts []place.Host) bool {
+// failed reports whether a majority of the observers that hold a lease hold the primary for
+// failed. The caller holds mu.
+func (l *Leader) failed(name string, run *wire.GroupRun, hosts []place.Host) bool {
 	observers := place.Observers(name, run.Holder, hosts)
 	votes := 0
 	for _, o := range observers {
-		s, known := l.suspects[name][o]
-		if known && s.failed && s.term == run.Term && now.Sub(s.at) < suspectLife {
+		s := l.suspects[o][name]
+		if s != nil && s.Term == run.Term && s.Primary == run.Primary {
 			votes++
 		}
 	}
--- a/internal/control/leader/leader__lease.go
+++ b/internal/control/leader/leader__lease.go
@@ -97,7 +97,7 @@
 	if reason := l.joined(ctx, now, host, r.Run); reason != "" {
 		return reason
 	}
-	l.note(now, host, r)
+	l.note(host, r)
 	reason := l.grantor.Renew(now, st.LeaseUntil, host, r.Applied)
 	if len(r.Suspects)+len(r.Released) > 0 {
 		l.wake()
@@ -125,14 +125,14 @@
 	return fault.Behind
 }
 
-// note keeps what a renewal tells of primaries and of work that has ended.
-func (l *Leader) note(now time.Time, host string, r *wire.Renew) {
+// note keeps what a renewal tells of primaries and of work that has ended, in place of what
+// the one before told.
+func (l *Leader) note(host string, r *wire.Renew) {
+	suspects := map[string]*wire.Suspect{}
 	for _, s := range r.Suspects {
-		if l.suspects[s.Group] == nil {
-			l.suspects[s.Group] = map[string]suspect{}
-		}
-		l.suspects[s.Group][host] = suspect{term: s.Term, failed: s.Gone, at: now}
+		suspects[s.Group] = s
 	}
+	l.suspects[host] = suspects
 	done := map[string]*wire.Released{}
 	for _, one := range r.Released {
 		done[one.Group] = one
--- a/internal/traffic/holder/holder.go
+++ b/internal/traffic/holder/holder.go
@@ -49,6 +49,8 @@
 
 // watched is the probe of a primary that this host observes without holding its group.
 type watched struct {
+	name   string
+	term   uint64
 	addr   string
 	probe  *probe.Probe
 	cancel context.CancelFunc
@@ -159,10 +161,12 @@
 	}
 	addr := view.Get(spec.Backends, r.Group.Primary).GetBackend().GetAddr()
 	w := h.watched[name]
-	if w == nil || w.addr != addr {
+	if w == nil || w.addr != addr || w.name != r.Group.Primary {
 		h.unwatch(name)
 		w = h.watch(name, addr)
+		w.name = r.Group.Primary
 	}
+	w.term = r.Group.Term
 	if failed := w.probe.Failed(now); failed != w.failed {
 		w.failed = failed
 		h.Agent.Kick()
@@ -205,27 +209,23 @@
 
 // Suspects returns what this host observes of primaries, for the next renewal.
 func (h *Holder) Suspects(now time.Time) []*wire.Suspect {
-	view := h.Agent.View()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var list []*wire.Suspect
 	for name, w := range h.watched {
 		if w.probe.Failed(now) {
-			list = append(list, suspectOf(view, name))
+			list = append(list, &wire.Suspect{Group: name, Term: w.term, Primary: w.name})
 		}
 	}
 	for name, p := range h.pools {
-		if p.primaryFailed(now) {
-			list = append(list, suspectOf(view, name))
+		if s := p.suspect(now); s != nil {
+			s.Group = name
+			list = append(list, s)
 		}
 	}
 	return list
 }
 
-func suspectOf(view *agent.View, name string) *wire.Suspect {
-	return &wire.Suspect{Group: name, Term: view.Get(spec.Groups, name).GetGroup().GetTerm(), Gone: true}
-}
-
 // Released returns the groups in which this host does no work under an earlier term, and
 // those whose connections it has closed for another holder, for the next renewal.
 func (h *Holder) Released(now time.Time) []*wire.Released {
--- a/internal/traffic/holder/pool.go
+++ b/internal/traffic/holder/pool.go
@@ -46,13 +46,15 @@
 	works    int
 	writing  int
 	keyed    int
+	// bound are the units of work that have a connection.
+	bound map[*Work]struct{}
 }
 
 func newPool(h *Holder, group string) *pool {
 	ctx, cancel := context.WithCancel(h.ctx)
 	return &pool{
 		h: h, group: group, ctx: ctx, cancel: cancel, changed: make(chan struct{}),
-		servers: map[string]*server{}, ages: route.Ages{Keep: ageKeep},
+		servers: map[string]*server{}, bound: map[*Work]struct{}{}, ages: route.Ages{Keep: ageKeep},
 	}
 }
 
@@ -76,6 +78,7 @@
 		}
 	}
 	p.follow(now)
+	p.abort(now)
 	p.expire(now)
 	p.settle()
 	p.noteFailure(now)
@@ -93,6 +96,7 @@
 		p.sealed = now
 		p.ages.Reset()
 	}
+	p.h.Agent.Kick()
 	if run.Phase == wire.Phase_OPEN || run.Phase == wire.Phase_CHOSEN {
 		p.raise(token.Mark{Term: run.Term, Position: run.Start})
 	}
@@ -101,6 +105,16 @@
 	}
 }
 
+// abort cuts the connections to a replaced primary: no answer on them will be acknowledged,
+// and a frozen server gives none.
+func (p *pool) abort(now time.Time) {
+	for w := range p.bound {
+		if w.primary && w.term < p.run.Term && !p.lame(now) {
+			w.conn.Close()
+		}
+	}
+}
+
 // raise moves the mark of acknowledged writes forward.
 func (p *pool) raise(m token.Mark) {
 	if p.acked.Before(m) {
@@ -190,14 +204,18 @@
 	}
 }
 
-func (p *pool) primaryFailed(now time.Time) bool {
+// suspect returns the primary if it counts as failed, or nil.
+func (p *pool) suspect(now time.Time) *wire.Suspect {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.run == nil {
-		return false
+		return nil
 	}
 	s := p.servers[p.run.Primary]
-	return s != nil && s.probe.Failed(now)
+	if s == nil || !s.probe.Failed(now) {
+		return nil
+	}
+	return &wire.Suspect{Term: p.run.Term, Primary: s.name}
 }
 
 // notify wakes all that wait for a change. The caller holds mu.
@@ -240,6 +258,7 @@
 		p.retired = now
 		p.notify()
 	}
+	p.expire(now)
 	return p.works == 0 || now.Sub(p.retired) > drainGrace
 }
 
--- a/internal/traffic/holder/work.go
+++ b/internal/traffic/holder/work.go
@@ -102,6 +102,7 @@
 	defer w.pool.mu.Unlock()
 	c := w.conn
 	w.conn = nil
+	delete(w.pool.bound, w)
 	return c
 }
 
@@ -317,6 +318,7 @@
 	}
 	w.term = term
 	w.conn = c
+	p.bound[w] = struct{}{}
 	if w.primary && !w.writing {
 		w.writing = true
 		p.writing++
