--- a/internal/backend/stand/instance.go
+++ b/internal/backend/stand/instance.go
@@ -63,7 +63,6 @@
 	term      uint64
 	primary   bool
 	following bool
-	rewound   bool
 	db        *sql.DB
 	gen       int
 	open      int
--- a/internal/tools/cmds/dev.go
+++ b/internal/tools/cmds/dev.go
@@ -58,14 +58,13 @@
 	if err != nil {
 		return err
 	}
-	if err := c.announceReady(configs); err == nil {
+	err = c.announceReady(configs)
+	if err == nil {
 		select {
 		case <-c.env.ctx.Done():
 		case err = <-ended:
 			n--
 		}
-	} else {
-		fmt.Fprintln(c.env.stderr, err)
 	}
 	cancel()
 	for range n {
--- a/internal/traffic/holder/pool.go
+++ b/internal/traffic/holder/pool.go
@@ -334,12 +334,11 @@
 
 // copies returns the number of servers that hold a write, the primary included.
 func (p *pool) copies(m token.Mark) int {
-	n := 1
+	list := make([]group.Copy, 0, len(p.servers))
 	for _, s := range p.servers {
-		st, known := s.probe.Status()
-		if known && s.name != p.run.Primary && st.Following && st.Term == m.Term && st.Position >= m.Position {
-			n++
+		if st, known := s.probe.Status(); known {
+			list = append(list, group.Copy{Name: s.name, Term: st.Term, Position: st.Position, Following: st.Following})
 		}
 	}
-	return n
+	return group.Copies(p.run.Primary, m.Term, m.Position, list)
 }
