--- /dev/null
+++ b/internal/base/conf/conf_test.go
@@ -0,0 +1,75 @@
+package conf_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/agatespindle/agatespindle/internal/base/conf"
+)
+
+func TestDecode(t *testing.T) {
+	Convey("The commented defaults are fine and equal the defaults", t, func() {
+		cfg, err := conf.Decode([]byte(conf.Commented))
+		So(err, ShouldBeNil)
+		want := conf.Default()
+		So([]any{cfg.Lease, cfg.Renew, cfg.Beat, cfg.Election, cfg.Silence, cfg.Timeout, cfg.Drain, cfg.Level}, ShouldResemble,
+			[]any{want.Lease, want.Renew, want.Beat, want.Election, want.Silence, want.Timeout, want.Drain, want.Level})
+		So(cfg.Has(conf.Control), ShouldBeTrue)
+		So(cfg.Lease.D(), ShouldEqual, 2*time.Second)
+	})
+	Convey("All mistakes come at once, with line, column and what to write", t, func() {
+		_, err := conf.Decode([]byte(`{
+  "host": "a b",
+  "center": "kingston",
+  "roles": ["control", "boss"],
+  "caler": "127.0.0.1:1",
+  "api": "localhost:80",
+  "link": "127.0.0.1:6490",
+  "control": [{"host": "x", "link": "127.0.0.1:6490"}],
+  "lease": "2",
+  "renew": "1h",
+  "level": 5,
+}`))
+		var faults conf.Faults
+		So(errors.As(err, &faults), ShouldBeTrue)
+		lines := map[int]string{}
+		for _, f := range faults {
+			lines[f.Line] += f.Text + " "
+			So(f.Column, ShouldBeGreaterThan, 0)
+		}
+		for line, want := range map[int]string{
+			2: "no host name", 4: "boss", 5: `unknown name "caler"`, 6: "IP number and a port",
+			8: "not in the list", 9: "unit", 10: "out of bounds", 11: "text in quotes",
+		} {
+			So(lines[line], ShouldContainSubstring, want)
+		}
+		So(err.Error(), ShouldContainSubstring, "data: a control host needs a folder")
+	})
+	Convey("Clashing addresses and impossible times are found", t, func() {
+		text := strings.NewReplacer(`"api": "127.0.0.1:6480"`, `"api": "127.0.0.1:6432"`, `"lease": "2s"`, `"lease": "600ms"`, `"election": "300ms"`, `"election": "100ms"`).Replace(conf.Commented)
+		_, err := conf.Decode([]byte(text))
+		So(err, ShouldNotBeNil)
+		So(err.Error(), ShouldContainSubstring, `is taken by "caller"`)
+		So(err.Error(), ShouldContainSubstring, "write at least 900ms")
+		So(err.Error(), ShouldContainSubstring, "heartbeats")
+	})
+	Convey("A name that stands twice and a broken file are found", t, func() {
+		_, err := conf.Decode([]byte(`{"host": "a", "host": "b"}`))
+		So(err.Error(), ShouldContainSubstring, "stands twice")
+		_, err = conf.Decode([]byte("{\n\"host\": }"))
+		var faults conf.Faults
+		So(errors.As(err, &faults), ShouldBeTrue)
+		So(faults[0].Line, ShouldEqual, 2)
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(conf.Commented))
+	f.Add([]byte(`{"host": 5, "control": {}, "roles": [[]], "lease": null}`))
+	f.Add([]byte(`{"control": [5, {"host": []}]}`))
+	f.Fuzz(func(_ *testing.T, b []byte) { _, _ = conf.Decode(b) })
+}
--- a/internal/base/conf/decode.go
+++ b/internal/base/conf/decode.go
@@ -111,11 +111,12 @@
 }
 
 func (d *decoder) span(path string, v hujson.Value, to reflect.Value) {
-	var s string
-	if json.Unmarshal(v.Pack(), &s) != nil {
+	l, ok := v.Value.(hujson.Literal)
+	if !ok || l.Kind() != '"' {
 		d.fault(v.StartOffset, `%s: write a duration with its unit, such as "300ms"`, path)
 		return
 	}
+	s := l.String()
 	n, err := time.ParseDuration(s)
 	if err != nil {
 		d.fault(v.StartOffset, `%s: %q has no unit that is known; write it such as "300ms" or "2s"`, path, s)
@@ -162,11 +163,8 @@
 }
 
 func (d *decoder) scalar(path string, v hujson.Value, to reflect.Value) {
-	packed := strings.TrimSpace(string(v.Value.(interface{ String() string }).String()))
-	if l, ok := v.Value.(hujson.Literal); ok && l.Kind() == '"' {
-		packed = string(l)
-	}
-	if json.Unmarshal([]byte(packed), to.Addr().Interface()) != nil {
+	l, ok := v.Value.(hujson.Literal)
+	if !ok || l.Kind() == 'n' || json.Unmarshal([]byte(l), to.Addr().Interface()) != nil {
 		d.fault(v.StartOffset, "%s: write a %s", path, kindName(to.Kind()))
 	}
 }
--- /dev/null
+++ b/internal/control/spec/spec_test.go
@@ -0,0 +1,45 @@
+package spec_test
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/agatespindle/agatespindle/internal/control/spec"
+)
+
+func TestCheck(t *testing.T) {
+	Convey("A resource gets its defaults", t, func() {
+		b, broken := spec.Check(spec.Groups, "parts-ledger", []byte(`{"size":5}`))
+		So(broken, ShouldBeEmpty)
+		g := spec.ReadGroup(b)
+		So(g, ShouldResemble, spec.Group{Size: 5, Acks: 2, Slots: 2, Connections: 16})
+	})
+	Convey("Mistakes name their fields", t, func() {
+		for _, one := range []struct {
+			kind  spec.Kind
+			name  string
+			text  string
+			field string
+		}{
+			{spec.Groups, "g", `{"size":0}`, "spec.size"},
+			{spec.Groups, "g", `{"size":2,"acks":3}`, "spec.acks"},
+			{spec.Groups, "g", `{"sise":3}`, "spec"},
+			{spec.Groups, "Not a name", `{}`, "name"},
+			{spec.Callers, "c", `{"class":"loud"}`, "spec.class"},
+			{spec.Callers, "c", `{"stale":"5"}`, "spec.stale"},
+			{spec.Services, "s", `{"groups":[]}`, "spec.groups"},
+			{"nothing", "n", `{}`, "kind"},
+		} {
+			_, broken := spec.Check(one.kind, one.name, []byte(one.text))
+			So(broken, ShouldNotBeEmpty)
+			So(broken[0].Field, ShouldEqual, one.field)
+		}
+	})
+	Convey("Classes have names both ways", t, func() {
+		for _, c := range []spec.Class{spec.Urgent, spec.Normal, spec.Browse, spec.Report} {
+			So(spec.ParseClass(c.String()), ShouldEqual, c)
+		}
+		So(spec.ParseClass(""), ShouldEqual, spec.Normal)
+	})
+}
--- /dev/null
+++ b/internal/traffic/queue/queue_test.go
@@ -0,0 +1,159 @@
+package queue_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/agatespindle/agatespindle/internal/base/fault"
+	"github.com/agatespindle/agatespindle/internal/control/spec"
+	"github.com/agatespindle/agatespindle/internal/traffic/queue"
+)
+
+var start = time.Unix(1000, 0)
+
+func ticket(id uint64, c spec.Class) queue.Ticket {
+	return queue.Ticket{ID: id, Class: c, Caller: "c", Deadline: start.Add(time.Hour)}
+}
+
+// TestQueueKeepsItsBounds checks that no more run than there are slots, that every ticket is
+// decided on once, that none waits beside a free slot, and that none is refused early that
+// has time.
+func TestQueueKeepsItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := &queue.Queue{Slots: rapid.IntRange(1, 4).Draw(t, "slots"), Length: 8, Reserve: time.Second}
+		now, next := start, uint64(0)
+		waiting, running := map[uint64]queue.Ticket{}, map[uint64]bool{}
+		take := func(list []queue.Decision) {
+			for _, d := range list {
+				if _, ok := waiting[d.ID]; !ok {
+					t.Fatalf("ticket %d was decided on twice", d.ID)
+				}
+				if d.Reason == "" {
+					running[d.ID] = true
+				}
+				delete(waiting, d.ID)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"enter": func(t *rapid.T) {
+				next++
+				tk := queue.Ticket{
+					ID: next, Class: spec.Class(rapid.IntRange(0, 3).Draw(t, "class")),
+					Caller:   fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "caller")),
+					Deadline: now.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "deadline")) * time.Millisecond),
+				}
+				waiting[tk.ID] = tk
+				take(q.Enter(now, tk))
+			},
+			"leave": func(t *rapid.T) {
+				for id := range running {
+					delete(running, id)
+					take(q.Leave(now, id))
+					return
+				}
+			},
+			"give up": func(t *rapid.T) {
+				for id := range waiting {
+					delete(waiting, id)
+					take(q.Leave(now, id))
+					return
+				}
+			},
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 300).Draw(t, "ms")) * time.Millisecond)
+				take(q.Expire(now))
+				for id, tk := range waiting {
+					if !now.Before(tk.Deadline) {
+						t.Fatalf("ticket %d waits past its deadline", id)
+					}
+				}
+			},
+			"": func(t *rapid.T) {
+				if len(running) > q.Slots {
+					t.Fatalf("%d run in %d slots", len(running), q.Slots)
+				}
+				if q.Load() != len(running)+len(waiting) {
+					t.Fatalf("load is %d, not %d", q.Load(), len(running)+len(waiting))
+				}
+				for id, tk := range waiting {
+					if len(running) < q.Slots && tk.Class < spec.Browse {
+						t.Fatalf("ticket %d waits beside a free slot", id)
+					}
+				}
+			},
+		})
+	})
+}
+
+func TestQueueOrder(t *testing.T) {
+	Convey("Given a queue whose two slots are taken by reports", t, func() {
+		q := &queue.Queue{Slots: 2, Length: 100, Reserve: time.Second}
+		q.Enter(start, ticket(1, spec.Report))
+		q.Enter(start, ticket(2, spec.Report))
+		for id := uint64(10); id < 30; id++ {
+			q.Enter(start, ticket(id, spec.Report))
+		}
+
+		Convey("An urgent request gets the next slot, and one slot is kept for urgent ones", func() {
+			So(q.Enter(start, ticket(99, spec.Urgent)), ShouldBeEmpty)
+			So(q.Leave(start, 1), ShouldResemble, []queue.Decision{{ID: 99}})
+			So(q.Leave(start, 99), ShouldBeEmpty)
+			So(q.Enter(start, ticket(100, spec.Urgent)), ShouldResemble, []queue.Decision{{ID: 100}})
+			So(q.Leave(start, 100), ShouldBeEmpty)
+			So(q.Expire(start.Add(2*time.Second)), ShouldHaveLength, 1)
+		})
+		Convey("Browsing gets two slots for one of a report, and reports do not starve", func() {
+			for id := uint64(200); id < 220; id++ {
+				q.Enter(start, ticket(id, spec.Browse))
+			}
+			browse, report := 0, 0
+			at := uint64(1)
+			for range 18 {
+				next := q.Leave(start, at)
+				So(next, ShouldHaveLength, 1)
+				at = next[0].ID
+				if at >= 200 {
+					browse++
+				} else {
+					report++
+				}
+			}
+			So(browse, ShouldBeBetween, 10, 14)
+			So(report, ShouldBeBetween, 4, 8)
+		})
+	})
+	Convey("A request that cannot be served in time is refused at once", t, func() {
+		q := &queue.Queue{Slots: 1, Length: 100}
+		q.Enter(start, ticket(1, spec.Normal))
+		q.Leave(start.Add(100*time.Millisecond), 1)
+		q.Enter(start, ticket(2, spec.Normal))
+		q.Enter(start, ticket(3, spec.Normal))
+		late := queue.Ticket{ID: 4, Class: spec.Normal, Deadline: start.Add(150 * time.Millisecond)}
+		So(q.Enter(start, late), ShouldResemble, []queue.Decision{{ID: 4, Reason: fault.Deadline}})
+		late.Deadline = start.Add(250 * time.Millisecond)
+		So(q.Enter(start, late), ShouldBeEmpty)
+	})
+	Convey("A full line refuses", t, func() {
+		q := &queue.Queue{Slots: 1, Length: 2}
+		for id := uint64(1); id <= 3; id++ {
+			q.Enter(start, ticket(id, spec.Browse))
+		}
+		So(q.Enter(start, ticket(4, spec.Browse)), ShouldResemble, []queue.Decision{{ID: 4, Reason: fault.QueueFull}})
+	})
+	Convey("Callers take turns", t, func() {
+		q := &queue.Queue{Slots: 1, Length: 100}
+		q.Enter(start, ticket(1, spec.Normal))
+		for id := uint64(10); id < 15; id++ {
+			q.Enter(start, ticket(id, spec.Normal))
+		}
+		other := ticket(50, spec.Normal)
+		other.Caller = "quiet"
+		q.Enter(start, other)
+		So(q.Leave(start, 1)[0].ID, ShouldEqual, 10)
+		So(q.Leave(start, 10)[0].ID, ShouldEqual, 50)
+	})
+}
--- /dev/null
+++ b/internal/traffic/route/route_test.go
@@ -0,0 +1,107 @@
+package route_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/agatespindle/agatespindle/internal/traffic/route"
+)
+
+var start = time.Unix(1000, 0)
+
+func server(name string, position uint64) route.Server {
+	return route.Server{Name: name, Position: position, Alive: true, Clean: true, Slots: 2}
+}
+
+// TestChooseNeverTooOld checks that a replica is only chosen when it may answer.
+func TestChooseNeverTooOld(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var list []route.Server
+		for i := range rapid.IntRange(0, 4).Draw(t, "servers") {
+			list = append(list, route.Server{
+				Name: string(rune('a' + i)), Position: rapid.Uint64Range(0, 5).Draw(t, "position"),
+				Alive: rapid.Bool().Draw(t, "alive"), Clean: rapid.Bool().Draw(t, "clean"), Leaving: rapid.Bool().Draw(t, "leaving"),
+				Primary: i == 0 && rapid.Bool().Draw(t, "primary"), Load: rapid.IntRange(0, 9).Draw(t, "load"), Slots: 2,
+			})
+		}
+		need := route.Need{Read: rapid.Bool().Draw(t, "read"), Position: rapid.Uint64Range(0, 5).Draw(t, "need")}
+		c := route.DefaultOptions().Choose(need, list)
+		if !c.Found {
+			if c.Wait <= 0 {
+				t.Fatal("neither a server nor a wait")
+			}
+			return
+		}
+		for _, s := range list {
+			if s.Name != c.Server {
+				continue
+			}
+			if !s.Alive || (!s.Primary && (!need.Read || !s.Clean || s.Leaving || s.Position < need.Position)) {
+				t.Fatalf("chose %+v for %+v", s, need)
+			}
+		}
+	})
+}
+
+func TestChoose(t *testing.T) {
+	o := route.DefaultOptions()
+	primary := server("p", 10)
+	primary.Primary = true
+	Convey("A read goes to the least loaded replica that is far enough", t, func() {
+		a, b, c := server("a", 10), server("b", 10), server("c", 9)
+		a.Load = 1
+		So(o.Choose(route.Need{Read: true, Position: 10}, []route.Server{primary, a, b, c}).Server, ShouldEqual, "b")
+	})
+	Convey("A read waits a little for a replica while the primary is busy, then goes there", t, func() {
+		busy := primary
+		busy.Load = 2
+		list := []route.Server{busy, server("a", 9)}
+		So(o.Choose(route.Need{Read: true, Position: 10}, list).Wait, ShouldEqual, o.Patience)
+		So(o.Choose(route.Need{Read: true, Position: 10, Waited: o.Patience}, list).Server, ShouldEqual, "p")
+		list[0].Load = 0
+		So(o.Choose(route.Need{Read: true, Position: 10}, list).Server, ShouldEqual, "p")
+	})
+	Convey("An idle primary helps overloaded replicas", t, func() {
+		a := server("a", 10)
+		a.Load = o.Spill * a.Slots
+		So(o.Choose(route.Need{Read: true}, []route.Server{primary, a}).Server, ShouldEqual, "p")
+	})
+	Convey("Without a primary writes wait and reads go on", t, func() {
+		list := []route.Server{server("a", 10)}
+		So(o.Choose(route.Need{}, list).Found, ShouldBeFalse)
+		So(o.Choose(route.Need{Read: true, Position: 10}, list).Server, ShouldEqual, "a")
+	})
+}
+
+// TestAgesNeverTooYoung checks that data at a position that counts as young enough really is:
+// a replica that holds it has all that the primary had when the age began.
+func TestAgesNeverTooYoung(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := route.Ages{Keep: time.Minute}
+		type sight struct {
+			at       time.Time
+			position uint64
+		}
+		var history []sight
+		now, position := start, uint64(0)
+		for range rapid.IntRange(1, 60).Draw(t, "sights") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			position += rapid.Uint64Range(0, 3).Draw(t, "writes")
+			history = append(history, sight{now, position})
+			a.Saw(now, position)
+		}
+		age := time.Duration(rapid.IntRange(1, 30000).Draw(t, "age")) * time.Millisecond
+		least, ok := a.Least(now, age)
+		if !ok {
+			return
+		}
+		for _, s := range history {
+			if !s.at.After(now.Add(-age)) && s.position > least {
+				t.Fatalf("position %d counts as younger than %s, but %d was there at %s before", least, age, s.position, now.Sub(s.at))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/traffic/token/token_test.go
@@ -0,0 +1,63 @@
+package token_test
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/agatespindle/agatespindle/internal/base/wire"
+	"github.com/agatespindle/agatespindle/internal/traffic/token"
+)
+
+func TestToken(t *testing.T) {
+	Convey("A token keeps the latest mark of each group", t, func() {
+		var tk token.Token
+		tk = tk.With("b", token.Mark{Term: 2, Position: 5}).With("a", token.Mark{Term: 1, Position: 9})
+		So(tk.With("b", token.Mark{Term: 1, Position: 99}).String(), ShouldEqual, "a@1/9,b@2/5")
+		So(tk.With("b", token.Mark{Term: 2, Position: 6}).String(), ShouldEqual, "a@1/9,b@2/6")
+		back, err := token.Parse(tk.String())
+		So(err, ShouldBeNil)
+		So(back.Mark("b"), ShouldResemble, token.Mark{Term: 2, Position: 5})
+	})
+	Convey("A mark of an earlier term ends at the start of the next one", t, func() {
+		run := &wire.GroupRun{Term: 5, Forks: []*wire.Fork{{Term: 1}, {Term: 3, Position: 40}, {Term: 5, Position: 60}}}
+		for _, one := range []struct {
+			mark token.Mark
+			want uint64
+		}{
+			{token.Mark{Term: 1, Position: 30}, 30},
+			{token.Mark{Term: 2, Position: 50}, 40},
+			{token.Mark{Term: 4, Position: 55}, 55},
+			{token.Mark{Term: 4, Position: 70}, 60},
+			{token.Mark{Term: 5, Position: 80}, 80},
+		} {
+			got, ok := one.mark.In(run)
+			So(ok, ShouldBeTrue)
+			So(got, ShouldEqual, one.want)
+		}
+		_, ok := token.Mark{Term: 6}.In(run)
+		So(ok, ShouldBeFalse)
+	})
+	Convey("What is no token is refused", t, func() {
+		for _, text := range []string{"x", "a@1", "a@1/x", "@1/2", "a@1/2,", "a@1/2,a@1/3", "a@-1/2", "a@1/99999999999999999999"} {
+			_, err := token.Parse(text)
+			So(err, ShouldNotBeNil)
+		}
+	})
+}
+
+func FuzzParse(f *testing.F) {
+	for _, text := range []string{"", "a@1/2", "a@1/2,b@3/4", "a@1/2,a@1/2", "@/", "a@18446744073709551615/1"} {
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		tk, err := token.Parse(text)
+		if err != nil {
+			return
+		}
+		again, err := token.Parse(tk.String())
+		if err != nil || again.String() != tk.String() {
+			t.Fatalf("%q became %q", text, tk.String())
+		}
+	})
+}
--- /dev/null
+++ b/internal/traffic/verb/verb_test.go
@@ -0,0 +1,62 @@
+package verb_test
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/agatespindle/agatespindle/internal/traffic/verb"
+)
+
+func TestOf(t *testing.T) {
+	Convey("The first words tell what to do", t, func() {
+		for _, one := range []struct {
+			text    string
+			kind    verb.Kind
+			mayRead bool
+			commits bool
+		}{
+			{"select 1", verb.Read, true, false},
+			{"SELECT 1;", verb.Read, true, false},
+			{"/* x */ -- y\n (select 1)", verb.Read, true, false},
+			{"select 1; commit", verb.Read, false, true},
+			{"select ';'", verb.Read, false, true},
+			{"insert into t values (1)", verb.Write, false, false},
+			{"create table t (i int)", verb.Other, false, true},
+			{"begin", verb.Begin, false, true},
+			{"START TRANSACTION READ ONLY", verb.Begin, true, true},
+			{"commit", verb.End, false, true},
+			{"rollback to savepoint a", verb.Write, false, false},
+			{"commit prepared 'x'", verb.Refused, false, true},
+			{"copy t from stdin", verb.Refused, false, true},
+			{"", verb.Empty, false, true},
+			{"/* open", verb.Empty, false, true},
+		} {
+			st := verb.Of(one.text)
+			So(st.Kind, ShouldEqual, one.kind)
+			So(st.MayRead(), ShouldEqual, one.mayRead)
+			So(st.Commits(), ShouldEqual, one.commits)
+		}
+	})
+	Convey("Parameters have name and value", t, func() {
+		for _, one := range []struct {
+			text, name, value string
+			local             bool
+		}{
+			{"SET agatespindle.key = 'it''s'", "agatespindle.key", "it's", false},
+			{"set session a.b to 5;", "a.b", "5", false},
+			{"SET LOCAL x=1", "x", "1", true},
+			{"SHOW Agatespindle.Session", "agatespindle.session", "", false},
+		} {
+			st := verb.Of(one.text)
+			So([]any{st.Name, st.Value, st.Local}, ShouldResemble, []any{one.name, one.value, one.local})
+		}
+	})
+}
+
+func FuzzOf(f *testing.F) {
+	f.Add("SET a = '")
+	f.Add("/*")
+	f.Add("rollback to")
+	f.Fuzz(func(_ *testing.T, text string) { verb.Of(text) })
+}
