--- a/internal/control/driver/driver.go
+++ b/internal/control/driver/driver.go
@@ -76,7 +76,9 @@
 	nextID  uint64
 	lastCut uint64
 	senders map[string]*sender
-	wg      sync.WaitGroup
+	// said is the address of the leader by its own word.
+	said map[string]string
+	wg   sync.WaitGroup
 }
 
 // request is something that the loop takes in.
--- a/internal/control/driver/sender.go
+++ b/internal/control/driver/sender.go
@@ -23,8 +23,9 @@
 }
 
 func (d *Driver) sendTo(ctx context.Context, m *wire.Message) {
-	addr := addrOf(d.core.Members(), m.To)
+	addr := d.addr(m.To)
 	if addr == "" {
+		d.Meter.Add("log.strangers", 1)
 		return
 	}
 	s := d.senders[m.To]
@@ -41,6 +42,27 @@
 	}
 }
 
+// addr returns where a control host listens: by the membership, or by what it said itself. A
+// host that joins knows no membership yet, and must answer the leader all the same.
+func (d *Driver) addr(id string) string {
+	if addr := addrOf(d.core.Members(), id); addr != "" {
+		return addr
+	}
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.said[id]
+}
+
+// note keeps what a leader says of its address.
+func (d *Driver) note(m *wire.Message) {
+	if m.Addr == "" {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.said = map[string]string{m.From: m.Addr}
+}
+
 func (d *Driver) runSender(ctx context.Context, s *sender) {
 	defer d.wg.Done()
 	var c *link.Conn
@@ -94,6 +116,7 @@
 			d.Meter.Add("log.strangers", 1)
 			continue
 		}
+		d.note(m)
 		d.post(request{event: quorum.Received{Message: m}})
 	}
 }
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -43,11 +43,11 @@
 	// Groups are the times of a failover.
 	Groups group.Options
 
-	mu       sync.Mutex
-	term     uint64
-	grantor  *lease.Grantor
-	groups   map[string]*group.Group
-	reports  map[string]map[string]group.Report
+	mu      sync.Mutex
+	term    uint64
+	grantor *lease.Grantor
+	groups  map[string]*group.Group
+	reports map[string]map[string]group.Report
 	// suspects are the primaries that each host holds for failed, by host and group.
 	suspects map[string]map[string]*wire.Suspect
 	released map[string]map[string]*wire.Released
--- a/internal/control/quorum/core.go
+++ b/internal/control/quorum/core.go
@@ -139,6 +139,9 @@
 	if m.Term == 0 {
 		m.Term = c.term
 	}
+	if c.role == Leader {
+		m.Addr = c.members[c.opt.ID].GetAddr()
+	}
 	c.emit(Send{m})
 }
 
--- a/internal/tools/cmds/dev.go
+++ b/internal/tools/cmds/dev.go
@@ -25,8 +25,12 @@
 	devControl   = 3
 	devInstances = 3
 	devGroup     = "parts-ledger"
-	devLimit     = 30 * time.Second
-	devPoll      = 50 * time.Millisecond
+	// devLinks and devServers are the distances from the API's port to the first port between
+	// hosts and to that of the first backend server.
+	devLinks   = 10
+	devServers = 20
+	devLimit   = 30 * time.Second
+	devPoll    = 50 * time.Millisecond
 )
 
 var devCenters = []string{"kingston", "spanish-town", "may-pen"}
@@ -35,7 +39,7 @@
 	base
 	Address    string `long:"address" default:"127.0.0.1" description:"address to listen on"`
 	CallerPort int    `long:"caller-port" default:"6432" description:"port for callers of the first entry host; the second has the next port"`
-	APIPort    int    `long:"api-port" default:"6480" description:"port of the API of the first host"`
+	APIPort    int    `long:"api-port" default:"6480" description:"port of the API of the first host; the others, the links and the backend servers have the next 23 ports"`
 	Data       string `long:"data" value-name:"DIR" description:"folder for all files; without one a temporary folder is used and removed"`
 	Verbose    bool   `long:"verbose" description:"log to standard error"`
 }
@@ -47,10 +51,7 @@
 		return err
 	}
 	defer remove()
-	configs, err := c.configs(dir)
-	if err != nil {
-		return err
-	}
+	configs := c.configs(dir)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	ended := make(chan error, devHosts+devInstances)
@@ -84,15 +85,11 @@
 }
 
 // configs returns the settings of all hosts: the first ones control, the last two entry.
-func (c *devCommand) configs(dir string) ([]conf.Config, error) {
-	ports, err := freePorts(c.Address, 2*devHosts)
-	if err != nil {
-		return nil, err
-	}
+func (c *devCommand) configs(dir string) []conf.Config {
 	addr := func(port int) string { return net.JoinHostPort(c.Address, strconv.Itoa(port)) }
 	var peers []conf.Peer
 	for i := range devControl {
-		peers = append(peers, conf.Peer{Host: fmt.Sprintf("host-%d", i+1), Link: addr(ports[i])})
+		peers = append(peers, conf.Peer{Host: fmt.Sprintf("host-%d", i+1), Link: addr(c.APIPort + devLinks + i)})
 	}
 	var list []conf.Config
 	for i := range devHosts {
@@ -101,8 +98,8 @@
 		cfg.Center = devCenters[i%len(devCenters)]
 		cfg.Roles = []conf.Role{conf.Control}
 		cfg.Data = filepath.Join(dir, cfg.Host)
-		cfg.Link = addr(ports[i])
-		cfg.API = addr(ports[devHosts+i])
+		cfg.Link = addr(c.APIPort + devLinks + i)
+		cfg.API = addr(c.APIPort + i)
 		cfg.Control = peers
 		cfg.Drain = conf.Span(3 * time.Second)
 		if i >= devControl {
@@ -111,22 +108,7 @@
 		}
 		list = append(list, cfg)
 	}
-	list[0].API = addr(c.APIPort)
-	return list, nil
-}
-
-// freePorts returns ports that were free a moment ago.
-func freePorts(address string, n int) ([]int, error) {
-	var ports []int
-	for range n {
-		ln, err := net.Listen("tcp", net.JoinHostPort(address, "0"))
-		if err != nil {
-			return nil, err
-		}
-		defer ln.Close()
-		ports = append(ports, ln.Addr().(*net.TCPAddr).Port)
-	}
-	return ports, nil
+	return list
 }
 
 // startAll starts hosts and instances; it returns how many ends to wait for.
@@ -145,7 +127,7 @@
 		go func() { ended <- h.Run(ctx) }()
 	}
 	for i := range devInstances {
-		ln, err := net.Listen("tcp", net.JoinHostPort(c.Address, "0"))
+		ln, err := net.Listen("tcp", net.JoinHostPort(c.Address, strconv.Itoa(c.APIPort+devServers+i)))
 		if err != nil {
 			return n, err
 		}
--- a/internal/tools/host/host.go
+++ b/internal/tools/host/host.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -195,11 +196,11 @@
 // ready reports whether the host may get callers: it holds a lease, and groups have primaries.
 func (h *Host) ready(now time.Time) bool { return h.Agent.Valid(now) && !h.Agent.Draining() }
 
-// handOver lets other hosts take the groups that this host holds.
+// handOver lets other hosts take the groups that this host holds, where there are any.
 func (h *Host) handOver(ctx context.Context) {
 	h.Agent.Drain()
-	for ctx.Err() == nil && !(h.Holder.Idle() && h.released()) {
-		if !h.Agent.Valid(time.Now()) {
+	for ctx.Err() == nil && h.others() && h.Agent.Valid(time.Now()) {
+		if h.Holder.Idle() && h.released() {
 			return
 		}
 		sleep(ctx, 20*time.Millisecond)
@@ -209,13 +210,8 @@
 // released reports whether no group lists this host as its holder or a former one.
 func (h *Host) released() bool {
 	for _, r := range h.Agent.View().List(spec.Groups) {
-		if r.Group.GetHolder() == h.Config.Host {
-			return !h.others()
-		}
-		for _, prior := range r.Group.GetPrior() {
-			if prior == h.Config.Host {
-				return false
-			}
+		if r.Group.GetHolder() == h.Config.Host || slices.Contains(r.Group.GetPrior(), h.Config.Host) {
+			return false
 		}
 	}
 	return true
@@ -225,7 +221,7 @@
 func (h *Host) others() bool {
 	for _, r := range h.Agent.View().List(spec.Hosts) {
 		run := r.Host
-		if r.Name != h.Config.Host && run != nil && !run.Draining && strings.Contains(strings.Join(run.Roles, ","), string(conf.Entry)) {
+		if r.Name != h.Config.Host && run != nil && !run.Draining && slices.Contains(run.Roles, string(conf.Entry)) {
 			return true
 		}
 	}
--- a/internal/tools/whole/cluster_test.go
+++ b/internal/tools/whole/cluster_test.go
@@ -121,14 +121,27 @@
 	return args
 }
 
-// freeAddr returns a loopback address that was free a moment ago.
+// Ports for tests lie below those that the system gives to outgoing connections, which could
+// take one between two starts of a host.
+const (
+	firstPort = 20000
+	portSpan  = 12000
+)
+
+var nextPort = os.Getpid() * 64 % portSpan
+
+// freeAddr returns a loopback address that nothing listens on.
 func freeAddr(t *testing.T) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range portSpan {
+		nextPort = (nextPort + 1) % portSpan
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort))
+		if err == nil {
+			defer ln.Close()
+			return ln.Addr().String()
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	t.Fatal("no port is free")
+	return ""
 }
 
 func (c *cluster) entries() []string {
@@ -213,8 +226,8 @@
 	logs, _ := filepath.Glob(filepath.Join(c.dir, "*.log"))
 	for _, path := range logs {
 		b, _ := os.ReadFile(path)
-		if len(b) > 4000 {
-			b = b[len(b)-4000:]
+		if len(b) > 9000 {
+			b = b[len(b)-9000:]
 		}
 		c.t.Logf("%s:\n%s", filepath.Base(path), b)
 	}
@@ -311,11 +324,15 @@
 	c.t.Helper()
 	var r rest.Resource
 	c.eventually("put "+name, func() error {
-		code, err := c.request(c.names[len(c.names)-1], http.MethodPut, kind+"/"+name, `{"spec":`+spec+`}`, nil, &r)
+		var answer json.RawMessage
+		code, err := c.request(c.entries()[0], http.MethodPut, kind+"/"+name, `{"spec":`+spec+`}`, nil, &answer)
 		if err == nil && code != http.StatusOK {
-			err = fmt.Errorf("status %d", code)
+			err = fmt.Errorf("status %d: %s", code, answer)
 		}
-		return err
+		if err != nil {
+			return err
+		}
+		return json.Unmarshal(answer, &r)
 	})
 	return r
 }
@@ -388,3 +405,33 @@
 	}
 	return ""
 }
+
+// watchUntil watches a kind from a revision until an event's text holds last.
+func (c *cluster) watchUntil(host, kind string, from uint64, last string) ([]rest.Event, error) {
+	ctx, cancel := context.WithTimeout(c.t.Context(), settleLimit)
+	defer cancel()
+	url := fmt.Sprintf("http://%s/v1/%s?watch=1&from=%d", c.configs[host].API, kind, from)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("status %d", resp.StatusCode)
+	}
+	var events []rest.Event
+	for dec := json.NewDecoder(resp.Body); ; {
+		var e rest.Event
+		if err := dec.Decode(&e); err != nil {
+			return events, err
+		}
+		events = append(events, e)
+		if e.Resource != nil && strings.Contains(string(e.Resource.Spec), last) {
+			return events, nil
+		}
+	}
+}
--- a/internal/tools/whole/load_test.go
+++ b/internal/tools/whole/load_test.go
@@ -89,6 +89,7 @@
 		l.acked[id] = time.Now()
 	case verdict(err) == "NotRun":
 		l.notRun[id] = true
+		l.c.t.Logf("row %d: %v", id, err)
 	default:
 		l.maybe[id] = true
 	}
