--- a/internal/backend/adapt/adapt.go
+++ b/internal/backend/adapt/adapt.go
@@ -13,6 +13,9 @@
 	Name string `json:"name"`
 	// Group is the database group that it belongs to.
 	Group string `json:"group"`
+	// Disk is the identity of its disk, made with the log's folder. With another disk the
+	// instance has lost what it confirmed before.
+	Disk string `json:"disk"`
 	// Term is the highest term that it has accepted; it refuses orders of lower ones.
 	Term uint64 `json:"term"`
 	// Last is the term of its last log entry.
--- a/internal/backend/stand/instance.go
+++ b/internal/backend/stand/instance.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"database/sql"
 	"errors"
 	"fmt"
@@ -57,6 +58,7 @@
 	slots chan struct{}
 	log   *entryLog
 	id    string
+	disk  string
 
 	mu        sync.Mutex
 	changed   chan struct{}
@@ -92,9 +94,22 @@
 	if in.term, err = readTerm(in.termFile(), in.term); err != nil {
 		return nil, err
 	}
+	if in.disk, err = readDisk(filepath.Join(cfg.Dir, "disk")); err != nil {
+		return nil, err
+	}
 	return in, in.rebuild()
 }
 
+// readDisk returns the identity of a folder, which is made with it.
+func readDisk(path string) (string, error) {
+	b, err := os.ReadFile(path)
+	if err == nil {
+		return string(b), nil
+	}
+	id := rand.Text()
+	return id, os.WriteFile(path, []byte(id), 0o600)
+}
+
 // rebuild makes the engine's database anew from the log. Open sessions end.
 func (in *Instance) rebuild() error {
 	if in.db != nil {
@@ -187,7 +202,7 @@
 
 func (in *Instance) status() adapt.Status {
 	return adapt.Status{
-		Name: in.cfg.Name, Group: in.cfg.Group, Term: in.term, Last: in.log.lastTerm(),
+		Name: in.cfg.Name, Group: in.cfg.Group, Disk: in.disk, Term: in.term, Last: in.log.lastTerm(),
 		Position: in.log.last(), Primary: in.primary, Following: in.following,
 	}
 }
--- a/internal/control/agent/agent.go
+++ b/internal/control/agent/agent.go
@@ -106,6 +106,13 @@
 	return a.tenure.Valid(now)
 }
 
+// Lease returns the view together with whether this host may serve by it.
+func (a *Agent) Lease(now time.Time) (*View, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.view, a.tenure.Valid(now)
+}
+
 // View returns the host's copy of the resources. It says what to do only under a lease.
 func (a *Agent) View() *View {
 	a.mu.Lock()
--- a/internal/control/group/group.go
+++ b/internal/control/group/group.go
@@ -60,6 +60,8 @@
 
 // Report is an instance's answer to an order.
 type Report struct {
+	// Disk is the identity of the instance's disk.
+	Disk string
 	// Term is the highest term that the instance has accepted.
 	Term uint64
 	// Last is the term of its last log entry.
--- a/internal/control/group/group__choose.go
+++ b/internal/control/group/group__choose.go
@@ -26,10 +26,55 @@
 		return acts
 	}
 	return append(acts, g.propose(now, &wire.Command{Body: &wire.Command_Choose{Choose: &wire.Choose{
-		Group: v.Name, Term: v.Run.Term, Primary: name, Start: r.Position,
+		Group: v.Name, Term: v.Run.Term, Primary: name, Start: r.Position, Disks: v.disks(name),
 	}}})...)
 }
 
+// disks returns the disks that count from the choice on: all of them in the first term, and
+// later that of the chosen instance.
+func (v View) disks(chosen string) map[string]string {
+	if !v.first() {
+		return map[string]string{chosen: v.Reports[chosen].Disk}
+	}
+	all := map[string]string{}
+	for name, r := range v.Reports {
+		all[name] = r.Disk
+	}
+	return all
+}
+
+// first reports whether no term of the group has had a primary.
+func (v View) first() bool { return len(v.Run.Forks) == 0 }
+
+// fenced returns the answers that count: an instance that lost its disk does not hold what it
+// confirmed before, until the log admits it again.
+func (v View) fenced() map[string]Report {
+	fenced := map[string]Report{}
+	for name, r := range v.Reports {
+		if r.Term == v.Run.Term && (v.first() || v.accepted() || v.Run.Disks[name] == r.Disk) {
+			fenced[name] = r
+		}
+	}
+	return fenced
+}
+
+// accepted reports whether an operator accepts a loss in the sealed term.
+func (v View) accepted() bool { return v.Accept != 0 && v.Accept == v.Run.Term }
+
+// Needed returns how many answers the choice needs.
+func (v View) Needed() int {
+	switch {
+	case v.accepted():
+		return 1
+	case v.first():
+		return v.Size
+	}
+	return Answers(v.Size, v.Acks)
+}
+
+// Counted returns how many answers count towards those that are needed.
+func (v View) Counted() int { return len(v.fenced()) }
+
 // Choose returns the primary of a sealed term: of the fenced instances the one with the
 // highest term of the last entry, then the highest position; ties go to one that stays, then
 // to the home data centre, then to the first name. It reports false while a choice could
@@ -38,16 +83,8 @@
 	if !v.Released {
 		return "", Report{}, false
 	}
-	fenced := map[string]Report{}
-	for name, r := range v.Reports {
-		if r.Term == v.Run.Term {
-			fenced[name] = r
-		}
-	}
-	need := Answers(v.Size, v.Acks)
-	if v.Accept == v.Run.Term {
-		need = 1
-	}
+	fenced := v.fenced()
+	need := v.Needed()
 	if len(fenced) < need {
 		return "", Report{}, false
 	}
--- a/internal/control/group/group_test.go
+++ b/internal/control/group/group_test.go
@@ -36,6 +36,12 @@
 		"follow":    func(t *rapid.T) { w.follow(name.Draw(t, "follow")) },
 		"replicate": func(t *rapid.T) { w.replicate(name.Draw(t, "replicate")) },
 		"report":    func(t *rapid.T) { w.report(name.Draw(t, "report")) },
+		"disk": func(t *rapid.T) {
+			if w.lost == 0 {
+				w.loseDisk(name.Draw(t, "disk"))
+			}
+		},
+		"admit": func(t *rapid.T) { w.admit(name.Draw(t, "admit")) },
 		"work": func(t *rapid.T) {
 			w.write()
 			for _, n := range []string{"a", "b", "c"} {
@@ -130,7 +136,7 @@
 
 func TestChoose(t *testing.T) {
 	view := func(reports map[string]group.Report, instances ...group.Instance) group.View {
-		return group.View{Run: &wire.GroupRun{Term: 5, Phase: wire.Phase_SEALED}, Size: 3, Acks: 2, Released: true, Home: "k", Reports: reports, Instances: instances}
+		return group.View{Run: &wire.GroupRun{Term: 5, Phase: wire.Phase_SEALED, Forks: []*wire.Fork{{Term: 1}}}, Size: 3, Acks: 2, Released: true, Home: "k", Reports: reports, Instances: instances}
 	}
 	Convey("The term of the last entry goes before the position", t, func() {
 		name, _, ok := group.Choose(view(map[string]group.Report{
@@ -222,6 +228,15 @@
 			w.find("a").up, w.find("b").up = false, false
 			w.failover()
 		}},
+		{"answers of known disks", guards{anyDisk: true}, func(w *world) {
+			w.write()
+			w.replicate("b")
+			w.report("b")
+			w.acknowledge()
+			w.loseDisk("b")
+			w.find("a").up = false
+			w.failover()
+		}},
 		{"replicas of the same term", guards{anyTerm: true}, func(w *world) {
 			w.strayTail()
 			w.report("a")
--- a/internal/control/group/model_test.go
+++ b/internal/control/group/model_test.go
@@ -20,6 +20,7 @@
 // instance is a fake backend server with the published orders.
 type instance struct {
 	name      string
+	disk      string
 	up        bool
 	log       []entry
 	term      uint64
@@ -36,7 +37,7 @@
 }
 
 func (in *instance) report() group.Report {
-	return group.Report{Term: in.term, Last: in.last(), Position: uint64(len(in.log)), Primary: in.primary}
+	return group.Report{Disk: in.disk, Term: in.term, Last: in.last(), Position: uint64(len(in.log)), Primary: in.primary}
 }
 
 func (in *instance) accept(term uint64) bool {
@@ -51,7 +52,7 @@
 
 // guards are the guards of the design; a test removes one to see that the check notices.
 type guards struct {
-	noSeal, noCut, anyTerm, oneAnswer bool
+	noSeal, noCut, anyTerm, oneAnswer, anyDisk bool
 }
 
 // holder is the host that acknowledges writes: what it knows may be old.
@@ -80,6 +81,7 @@
 	expired   bool
 	released  uint64
 	acked     map[int]bool
+	lost      int
 	nextValue int
 	faults    []string
 }
@@ -87,7 +89,7 @@
 func newWorld(g guards) *world {
 	w := &world{now: time.Unix(1000, 0), guards: g, state: state.New(), acked: map[int]bool{}}
 	for _, name := range []string{"a", "b", "c"} {
-		w.instances = append(w.instances, &instance{name: name, up: true})
+		w.instances = append(w.instances, &instance{name: name, disk: name + "1", up: true})
 	}
 	w.holder = holder{valid: true, copies: map[string]group.Copy{}, wrote: map[int]mark{}}
 	w.apply(&wire.Command{Body: &wire.Command_Put{Put: &wire.Put{Kind: string(spec.Groups), Name: "g", Spec: []byte(`{"size":3,"acks":2}`)}}})
@@ -122,6 +124,9 @@
 	for _, in := range w.instances {
 		v.Instances = append(v.Instances, group.Instance{Name: in.name})
 	}
+	if w.guards.anyDisk {
+		v.Reports = w.withKnownDisks()
+	}
 	v.Released = w.expired || w.released >= w.run().Term || w.guards.noSeal
 	if w.guards.oneAnswer {
 		v.Accept = w.run().Term
@@ -129,6 +134,18 @@
 	return v
 }
 
+// withKnownDisks returns the reports as if no disk had been lost.
+func (w *world) withKnownDisks() map[string]group.Report {
+	all := map[string]group.Report{}
+	for name, r := range w.reports {
+		if disk := w.run().Disks[name]; disk != "" {
+			r.Disk = disk
+		}
+		all[name] = r
+	}
+	return all
+}
+
 // lead lets the leader take one step; orders to instances that are down are lost.
 func (w *world) lead() {
 	w.now = w.now.Add(200 * time.Millisecond)
@@ -183,6 +200,24 @@
 	in.following, in.source = true, run.Primary
 }
 
+// loseDisk takes everything from an instance; it comes back with another disk.
+func (w *world) loseDisk(name string) {
+	w.lost++
+	*w.find(name) = instance{name: name, disk: fmt.Sprint(name, w.lost+1), up: true}
+}
+
+// admit lets a new disk count once it holds all that the primary of the open term does.
+func (w *world) admit(name string) {
+	in := w.find(name)
+	if !in.following {
+		return
+	}
+	src := w.find(in.source)
+	if src.primary && src.term == in.term && len(in.log) == len(src.log) {
+		w.apply(&wire.Command{Body: &wire.Command_Admit{Admit: &wire.Admit{Group: "g", Term: in.term, Instance: name, Disk: in.disk}}})
+	}
+}
+
 // replicate ships one entry from the source to an instance that follows.
 func (w *world) replicate(name string) {
 	in := w.find(name)
--- a/internal/control/leader/leader__calls.go
+++ b/internal/control/leader/leader__calls.go
@@ -7,7 +7,6 @@
 	"github.com/agatespindle/agatespindle/internal/base/fault"
 	"github.com/agatespindle/agatespindle/internal/base/link"
 	"github.com/agatespindle/agatespindle/internal/base/wire"
-	"github.com/agatespindle/agatespindle/internal/control/group"
 	"github.com/agatespindle/agatespindle/internal/control/spec"
 	"github.com/agatespindle/agatespindle/internal/control/state"
 )
@@ -120,12 +119,7 @@
 	for _, r := range s.List(spec.Groups) {
 		v := l.view(now, r, nil, hosts)
 		one := &wire.GroupView{
-			Group: r.Name, Needed: uint64(group.Answers(v.Size, v.Acks)), Released: v.Released, Failed: v.Failed,
-		}
-		for _, rep := range v.Reports {
-			if rep.Term == v.Run.Term {
-				one.Answers++
-			}
+			Group: r.Name, Needed: uint64(v.Needed()), Answers: uint64(v.Counted()), Released: v.Released, Failed: v.Failed,
 		}
 		list = append(list, one)
 	}
--- a/internal/control/leader/leader__groups.go
+++ b/internal/control/leader/leader__groups.go
@@ -140,5 +140,5 @@
 	if l.reports[name] == nil {
 		l.reports[name] = map[string]group.Report{}
 	}
-	l.reports[name][st.Name] = group.Report{Term: st.Term, Last: st.Last, Position: st.Position, Primary: st.Primary}
+	l.reports[name][st.Name] = group.Report{Disk: st.Disk, Term: st.Term, Last: st.Last, Position: st.Position, Primary: st.Primary}
 }
--- a/internal/control/quorum/cluster_test.go
+++ b/internal/control/quorum/cluster_test.go
@@ -17,12 +17,11 @@
 
 // node is one control host: its core and what it has on disk.
 type node struct {
-	id      string
-	core    *quorum.Core
-	disk    quorum.Restored
-	up      bool
-	applied []string
-	index   uint64
+	id    string
+	core  *quorum.Core
+	disk  quorum.Restored
+	up    bool
+	index uint64
 }
 
 // fakeNet is control hosts with a network that delivers by hand. Its time moves by hand too.
@@ -41,13 +40,6 @@
 	reads   map[uint64]uint64
 	asked   map[uint64]uint64
 	nextID  uint64
-	elected []election1
-}
-
-// election1 is a host that became leader at a time, for the check of leases.
-type election1 struct {
-	id string
-	at time.Time
 }
 
 func newNet(n int, jitter func(time.Duration) time.Duration) *fakeNet {
--- a/internal/control/rest/resource.go
+++ b/internal/control/rest/resource.go
@@ -42,6 +42,8 @@
 	// Prior are former holders that have not released their connections.
 	Prior  []string `json:"prior,omitempty"`
 	Reason string   `json:"reason,omitempty"`
+	// Disks are the disks whose answers count in a failover, by backend server.
+	Disks map[string]string `json:"disks,omitempty"`
 	// Waiting tells what a failover waits for.
 	Waiting *Waiting `json:"waiting,omitempty"`
 }
@@ -115,7 +117,7 @@
 	if g := r.Group; g != nil && r.Kind == string(spec.Groups) {
 		out.Status.Group = &GroupStatus{
 			Phase: phaseName(g.Phase), Term: g.Term, Primary: g.Primary, Start: g.Start,
-			Holder: g.Holder, Prior: g.Prior, Reason: g.Reason,
+			Holder: g.Holder, Prior: g.Prior, Reason: g.Reason, Disks: g.Disks,
 		}
 	}
 	if b := r.Backend; b != nil {
--- a/internal/control/state/state__apply.go
+++ b/internal/control/state/state__apply.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"slices"
 
 	"google.golang.org/protobuf/proto"
@@ -35,6 +36,8 @@
 		return s.hold(index, b.Hold)
 	case *wire.Command_Release:
 		return s.release(index, b.Release)
+	case *wire.Command_Admit:
+		return s.admit(index, b.Admit)
 	}
 	return refusal(fault.Unsupported, "command is not known to this version")
 }
@@ -147,6 +150,30 @@
 	r.Group.Primary = c.Primary
 	r.Group.Start = c.Start
 	r.Group.Forks = append(r.Group.Forks, &wire.Fork{Term: c.Term, Position: c.Start})
+	r.Group.Disks = joined(r.Group.Disks, c.Disks)
+	return s.change(index, r)
+}
+
+// joined returns the entries of both maps; those of next go before.
+func joined(have, next map[string]string) map[string]string {
+	all := maps.Clone(have)
+	if all == nil {
+		all = map[string]string{}
+	}
+	maps.Copy(all, next)
+	return all
+}
+
+// admit lets an instance's new disk count in the failovers after this open term.
+func (s *State) admit(index uint64, c *wire.Admit) *wire.Outcome {
+	r, refused := s.group(c.Group, c.Term)
+	if refused != nil {
+		return refused
+	}
+	if r.Group.Phase != wire.Phase_OPEN {
+		return refusal(fault.Conflict, "group is not open")
+	}
+	r.Group.Disks = joined(r.Group.Disks, map[string]string{c.Instance: c.Disk})
 	return s.change(index, r)
 }
 
--- a/internal/tools/whole/failover_integration_test.go
+++ b/internal/tools/whole/failover_integration_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
@@ -101,6 +103,29 @@
 	l.finish(t)
 }
 
+// TestBackendServerLosesItsDisk takes the disk of a primary, then, once the server is counted
+// again, kills the primary after it.
+func TestBackendServerLosesItsDisk(t *testing.T) {
+	c := rowsCluster(t, clusterConfig{Control: 3, Entry: 2, Lag: 5 * time.Millisecond})
+	l := startLoad(c, 4)
+	for range 2 {
+		before := c.group()
+		lost := c.gap(l, "killed with its disk", c.kill)
+		if err := os.RemoveAll(filepath.Join(c.dir, lost)); err != nil {
+			t.Fatal(err)
+		}
+		c.start(lost)
+		c.awaitReplicas()
+		c.eventually("the new disk counts", func() error {
+			if g := c.group(); g.Disks[lost] == "" || g.Disks[lost] == before.Disks[lost] {
+				return fmt.Errorf("disks are %v", g.Disks)
+			}
+			return nil
+		})
+	}
+	l.finish(t)
+}
+
 func TestPlannedHandOverRunsEverything(t *testing.T) {
 	c := rowsCluster(t, clusterConfig{Control: 3, Entry: 2, Lag: 5 * time.Millisecond})
 	l := startLoad(c, 4)
--- a/internal/traffic/holder/pool.go
+++ b/internal/traffic/holder/pool.go
@@ -9,6 +9,7 @@
 	"github.com/agatespindle/agatespindle/internal/base/fault"
 	"github.com/agatespindle/agatespindle/internal/base/wire"
 	"github.com/agatespindle/agatespindle/internal/control/group"
+	"github.com/agatespindle/agatespindle/internal/control/leader"
 	"github.com/agatespindle/agatespindle/internal/control/spec"
 	"github.com/agatespindle/agatespindle/internal/traffic/route"
 	"github.com/agatespindle/agatespindle/internal/traffic/token"
@@ -21,6 +22,8 @@
 	ageKeep = 10 * time.Minute
 	// followInterval is the time between two orders to follow.
 	followInterval = 200 * time.Millisecond
+	// admitInterval is the time between two requests to admit a new disk.
+	admitInterval = 500 * time.Millisecond
 )
 
 // pool is a group's connections, queues and positions on its holder.
@@ -78,6 +81,7 @@
 		}
 	}
 	p.follow(now)
+	p.admit(now)
 	p.abort(now)
 	p.expire(now)
 	p.settle()
@@ -194,6 +198,50 @@
 	}
 }
 
+// admit asks control to let replicas with a new disk count again, once they hold all that
+// the primary of the open term was seen to have.
+func (p *pool) admit(now time.Time) {
+	if !p.active || p.run.Phase != wire.Phase_OPEN || p.settled != p.run.Held {
+		return
+	}
+	for _, s := range p.servers {
+		st, known := s.probe.Status()
+		if !known || !st.Following || st.Term != p.run.Term || p.run.Disks[s.name] == st.Disk {
+			continue
+		}
+		if !p.holdsAll(st.Position) || now.Sub(s.admitted) < admitInterval {
+			continue
+		}
+		s.admitted = now
+		p.propose(&wire.Command{Body: &wire.Command_Admit{Admit: &wire.Admit{
+			Group: p.group, Term: p.run.Term, Instance: s.name, Disk: st.Disk,
+		}}})
+	}
+}
+
+// holdsAll reports whether a position is at or past all that was acknowledged and seen.
+func (p *pool) holdsAll(position uint64) bool {
+	primary := p.servers[p.run.Primary]
+	if primary == nil || position < p.acked.Position {
+		return false
+	}
+	st, known := primary.probe.Status()
+	return known && st.Primary && st.Term == p.run.Term && position >= st.Position
+}
+
+// propose sends a command to control in the background.
+func (p *pool) propose(cmd *wire.Command) {
+	p.h.wg.Add(1)
+	go func() {
+		defer p.h.wg.Done()
+		ctx, cancel := context.WithTimeout(p.ctx, time.Second)
+		defer cancel()
+		if _, err := p.h.Agent.Call(ctx, &wire.Call{Method: leader.Change, Command: cmd}); err != nil {
+			p.h.Log.WithError(err).WithField("group", p.group).Debug("command not recorded")
+		}
+	}()
+}
+
 // noteFailure tells control at once when the primary's failure is noticed or over.
 func (p *pool) noteFailure(now time.Time) {
 	s := p.servers[p.run.Primary]
@@ -298,7 +346,7 @@
 
 // writable reports whether a write of a term may be acknowledged. The caller holds mu.
 func (p *pool) writable(now time.Time, term uint64) bool {
-	if p.closed || !p.h.Agent.Valid(now) {
+	if p.closed || !p.current(now) {
 		return false
 	}
 	if p.run.Term == term && p.run.Phase == wire.Phase_OPEN {
@@ -307,6 +355,15 @@
 	return p.run.Term == term+1 && p.lame(now)
 }
 
+// current reports whether this host has a lease and the pool is as the host's view has it.
+// A lease that comes back brings the changes before it, which the pool must have taken in:
+// the term may have been replaced while there was no lease.
+func (p *pool) current(now time.Time) bool {
+	view, valid := p.h.Agent.Lease(now)
+	run := view.Get(spec.Groups, p.group).GetGroup()
+	return valid && run.GetTerm() == p.run.Term && run.GetPhase() == p.run.Phase && run.GetHeld() == p.run.Held
+}
+
 // replicated waits until enough servers hold a write, and notes it as acknowledged. The
 // position of a replica counts only while it follows the write's own term.
 func (p *pool) replicated(ctx context.Context, m token.Mark) error {
--- a/internal/traffic/holder/server.go
+++ b/internal/traffic/holder/server.go
@@ -36,6 +36,7 @@
 	leaving  bool
 	settling bool
 	ordered  time.Time
+	admitted time.Time
 
 	queue   queue.Queue
 	tickets map[uint64]chan queue.Decision
