measure: Run both deployments; tell hosts at once what is in force

'agatespindle measure' runs both users' deployments in one process with latencies, cuts and lag, beside two baselines. Change: the leader pushes a revision that came into force. Lists of a kind are kept until it changes, and rounds of leader and holder look at all groups only after a change: both grew with all groups every 20 to 50 ms before.

--- a/internal/backend/adapt/pg.go
+++ b/internal/backend/adapt/pg.go
@@ -19,7 +19,20 @@
 
 // Postgres returns a server that speaks the PostgreSQL protocol at addr.
 func Postgres(addr, user, database string) Server {
-	p := &pgServer{addr: addr, user: user, database: database}
+	return PostgresOver(addr, user, database, dialTCP)
+}
+
+// Dial opens a connection to an address.
+type Dial func(ctx context.Context, addr string) (net.Conn, error)
+
+func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialLimit}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+// PostgresOver returns a server as Postgres does, with connections that dial opens.
+func PostgresOver(addr, user, database string, dial Dial) Server {
+	p := &pgServer{addr: addr, user: user, database: database, dial: dial}
 	return Server{
 		Status: func(ctx context.Context) (Status, error) { return p.order(ctx, "STATUS") },
 		Watch:  p.watch,
@@ -36,6 +49,7 @@
 	addr     string
 	user     string
 	database string
+	dial     Dial
 }
 
 func (p *pgServer) promote(ctx context.Context, term, start uint64) (Status, error) {
@@ -111,8 +125,7 @@
 
 // open connects and goes through the startup of the protocol.
 func (p *pgServer) open(ctx context.Context, database string) (Link, error) {
-	d := net.Dialer{Timeout: dialLimit}
-	conn, err := d.DialContext(ctx, "tcp", p.addr)
+	conn, err := p.dial(ctx, p.addr)
 	if err != nil {
 		return Link{}, err
 	}
@@ -129,8 +142,7 @@
 
 // cancel sends a cancel request on a connection of its own, as the protocol asks.
 func (p *pgServer) cancel(ctx context.Context, key pgproto3.BackendKeyData) error {
-	d := net.Dialer{Timeout: dialLimit}
-	conn, err := d.DialContext(ctx, "tcp", p.addr)
+	conn, err := p.dial(ctx, p.addr)
 	if err != nil {
 		return err
 	}
--- a/internal/control/agent/view.go
+++ b/internal/control/agent/view.go
@@ -15,6 +15,7 @@
 	Revision  uint64
 	resources map[state.Key]*wire.Resource
 	byGroup   map[string][]*wire.Resource
+	byKind    map[spec.Kind][]*wire.Resource
 }
 
 func newView(revision uint64, list []*wire.Resource) *View {
@@ -28,7 +29,7 @@
 
 // With returns the view at a later revision.
 func (v *View) With(revision uint64, changes []*wire.Resource) *View {
-	next := &View{Revision: revision, resources: v.resources, byGroup: v.byGroup}
+	next := &View{Revision: revision, resources: v.resources, byGroup: v.byGroup, byKind: v.byKind}
 	if len(changes) == 0 {
 		return next
 	}
@@ -47,8 +48,15 @@
 
 func (v *View) index() {
 	v.byGroup = map[string][]*wire.Resource{}
+	v.byKind = map[spec.Kind][]*wire.Resource{}
 	for key, r := range v.resources {
-		if key.Kind == spec.Backends && r.Backend != nil {
+		v.byKind[key.Kind] = append(v.byKind[key.Kind], r)
+	}
+	for _, list := range v.byKind {
+		slices.SortFunc(list, func(a, b *wire.Resource) int { return strings.Compare(a.Name, b.Name) })
+	}
+	for _, r := range v.byKind[spec.Backends] {
+		if r.Backend != nil {
 			v.byGroup[r.Backend.Group] = append(v.byGroup[r.Backend.Group], r)
 		}
 	}
@@ -59,22 +67,8 @@
 	return v.resources[state.Key{Kind: k, Name: name}]
 }
 
-// List returns the resources of a kind by name; an empty kind lists all.
-func (v *View) List(k spec.Kind) []*wire.Resource {
-	var list []*wire.Resource
-	for key, r := range v.resources {
-		if k == "" || key.Kind == k {
-			list = append(list, r)
-		}
-	}
-	slices.SortFunc(list, func(a, b *wire.Resource) int {
-		if c := strings.Compare(a.Kind, b.Kind); c != 0 {
-			return c
-		}
-		return strings.Compare(a.Name, b.Name)
-	})
-	return list
-}
+// List returns the resources of a kind by name. The list must not be changed.
+func (v *View) List(k spec.Kind) []*wire.Resource { return v.byKind[k] }
 
 // Instances returns the backend servers of a group.
 func (v *View) Instances(group string) []*wire.Resource { return v.byGroup[group] }
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -21,6 +21,8 @@
 const (
 	// dutyInterval is the longest time between two rounds of duties.
 	dutyInterval = 20 * time.Millisecond
+	// sweepInterval is the longest time between two looks at all groups.
+	sweepInterval = 500 * time.Millisecond
 	// callLimit bounds a command on behalf of a caller of the leader.
 	callLimit = 3 * time.Second
 	// orderLimit bounds an order to a backend server.
@@ -55,13 +57,20 @@
 	busy     map[string]bool
 	joining  map[string]*wire.Member
 	inforce  uint64
-	kick     chan struct{}
-	wg       sync.WaitGroup
+	// raised is closed when inforce moves.
+	raised chan struct{}
+	// open are the groups whose failover is under way.
+	open    map[string]bool
+	swept   uint64
+	sweptAt time.Time
+	kick    chan struct{}
+	wg      sync.WaitGroup
 }
 
 // Prepare makes the leader ready for streams and calls; Run must follow.
 func (l *Leader) Prepare() {
 	l.kick = make(chan struct{}, 1)
+	l.raised = make(chan struct{})
 	l.reset(0, time.Time{})
 }
 
@@ -69,6 +78,8 @@
 // renewal, reports with each order.
 func (l *Leader) reset(term uint64, elected time.Time) {
 	l.term = term
+	l.open = map[string]bool{}
+	l.swept = 0
 	l.grantor = &lease.Grantor{Length: l.Length, Elected: elected}
 	l.groups = map[string]*group.Group{}
 	l.reports = map[string]map[string]group.Report{}
@@ -99,10 +110,12 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+			l.duties(ctx, l.Now(), false)
 		case <-changed:
+			l.duties(ctx, l.Now(), false)
 		case <-l.kick:
+			l.duties(ctx, l.Now(), true)
 		}
-		l.duties(ctx, l.Now())
 	}
 }
 
@@ -116,7 +129,8 @@
 
 // duties is one round. The driver's status may be a moment old; everything that is decided
 // on it goes through the log, which refuses a leader that was replaced.
-func (l *Leader) duties(ctx context.Context, now time.Time) {
+// A whole one looks at all groups, others only at those whose failover is under way.
+func (l *Leader) duties(ctx context.Context, now time.Time, whole bool) {
 	st := l.Driver.Status()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -125,8 +139,13 @@
 	}
 	l.Driver.View(func(s *state.State) {
 		l.grantor.Committed(now, s.Revision())
-		l.inforce = max(l.inforce, l.grantor.InForce(now, hostNames(s), s.Revision()))
-		l.failovers(ctx, now, s)
+		l.raiseInForce(l.grantor.InForce(now, hostNames(s), s.Revision()))
+		if !whole && s.Revision() == l.swept && now.Sub(l.sweptAt) < sweepInterval {
+			l.failovers(ctx, now, s, l.unsettled(s))
+			return
+		}
+		l.swept, l.sweptAt = s.Revision(), now
+		l.failovers(ctx, now, s, s.List(spec.Groups))
 		l.holders(ctx, now, s)
 		l.forget(ctx, now, s)
 	})
@@ -134,6 +153,37 @@
 	l.Meter.Set("control.inforce", int64(l.inforce))
 }
 
+// raiseInForce moves the revision in force forward and lets hosts know. The caller holds mu.
+func (l *Leader) raiseInForce(revision uint64) {
+	if revision <= l.inforce {
+		return
+	}
+	l.inforce = revision
+	close(l.raised)
+	l.raised = make(chan struct{})
+}
+
+// inForceRaised returns a channel that is closed when the revision in force moves.
+func (l *Leader) inForceRaised() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.raised
+}
+
+// unsettled returns the groups whose term is not open. The caller holds mu.
+func (l *Leader) unsettled(s *state.State) []*wire.Resource {
+	var list []*wire.Resource
+	for name := range l.open {
+		r := s.Get(spec.Groups, name)
+		if r == nil || r.Group.GetPhase() == wire.Phase_OPEN {
+			delete(l.open, name)
+			continue
+		}
+		list = append(list, r)
+	}
+	return list
+}
+
 // leads reports whether this host leads, after taking note of a new term. The caller holds mu.
 func (l *Leader) leads(st driver.Status) bool {
 	if !st.Leading {
--- a/internal/control/leader/leader__groups.go
+++ b/internal/control/leader/leader__groups.go
@@ -12,20 +12,17 @@
 	"github.com/agatespindle/agatespindle/internal/control/state"
 )
 
-// failovers steps every group. The caller holds mu.
-func (l *Leader) failovers(ctx context.Context, now time.Time, s *state.State) {
-	instances := map[string][]group.Instance{}
-	addrs := map[string]string{}
-	for _, r := range s.List(spec.Backends) {
-		b := r.Backend
-		if b == nil {
-			continue
-		}
-		addrs[r.Name] = b.Addr
-		instances[b.Group] = append(instances[b.Group], group.Instance{Name: r.Name, Center: b.Center, Leaving: spec.Leaving(r.Spec)})
+// failovers steps groups. The caller holds mu.
+func (l *Leader) failovers(ctx context.Context, now time.Time, s *state.State, groups []*wire.Resource) {
+	if len(groups) == 0 {
+		return
 	}
+	instances, addrs := l.announced(s)
 	hosts := l.entries(now, s)
-	for _, r := range s.List(spec.Groups) {
+	for _, r := range groups {
+		if r.Group.GetPhase() != wire.Phase_OPEN {
+			l.open[r.Name] = true
+		}
 		v := l.view(now, r, instances[r.Name], hosts)
 		g := l.groups[r.Name]
 		if g == nil {
@@ -38,6 +35,21 @@
 	}
 }
 
+// announced returns the backend servers by group, and their addresses.
+func (l *Leader) announced(s *state.State) (map[string][]group.Instance, map[string]string) {
+	instances := map[string][]group.Instance{}
+	addrs := map[string]string{}
+	for _, r := range s.List(spec.Backends) {
+		b := r.Backend
+		if b == nil {
+			continue
+		}
+		addrs[r.Name] = b.Addr
+		instances[b.Group] = append(instances[b.Group], group.Instance{Name: r.Name, Center: b.Center, Leaving: spec.Leaving(r.Spec)})
+	}
+	return instances, addrs
+}
+
 // entries returns the entry hosts with a live lease. The caller holds mu.
 func (l *Leader) entries(now time.Time, s *state.State) []place.Host {
 	var list []place.Host
--- a/internal/control/leader/leader__lease.go
+++ b/internal/control/leader/leader__lease.go
@@ -23,7 +23,9 @@
 	conn *link.Conn
 	host string
 	sent uint64
-	full bool
+	// inforce is the revision in force that the host was told.
+	inforce uint64
+	full    bool
 }
 
 // ServeLease serves a host's lease stream; it is a link.Handler.
@@ -37,7 +39,7 @@
 		receive(ctx, c, renewals)
 	}()
 	for {
-		changed := l.Driver.Changes()
+		changed, raised := l.Driver.Changes(), l.inForceRaised()
 		if !f.full && l.push(f) != nil {
 			return
 		}
@@ -49,6 +51,7 @@
 				return
 			}
 		case <-changed:
+		case <-raised:
 		}
 	}
 }
@@ -101,10 +104,21 @@
 	reason := l.grantor.Renew(now, st.LeaseUntil, host, r.Applied)
 	if len(r.Suspects)+len(r.Released) > 0 {
 		l.wake()
+	} else {
+		l.raiseFor(now)
 	}
 	return reason
 }
 
+// raiseFor sees whether a confirmation has put a revision in force.
+func (l *Leader) raiseFor(now time.Time) {
+	l.Driver.View(func(s *state.State) {
+		if s.Revision() > l.inforce {
+			l.raiseInForce(l.grantor.InForce(now, hostNames(s), s.Revision()))
+		}
+	})
+}
+
 // joined makes sure that the host stands in the log as it is now; before that it gets no
 // lease. A process of the same name takes its place once the old one's lease has run out.
 func (l *Leader) joined(ctx context.Context, now time.Time, host string, run *wire.HostRun) fault.Reason {
@@ -144,7 +158,7 @@
 func (l *Leader) push(f *feed) error {
 	g := &wire.Grant{}
 	l.fill(f, g)
-	if g.Revision <= f.sent && len(g.Changes) == 0 && !g.Reset_ {
+	if g.Revision <= f.sent && g.Inforce <= f.inforce && len(g.Changes) == 0 && !g.Reset_ {
 		return nil
 	}
 	return f.send(g)
@@ -178,5 +192,6 @@
 		return err
 	}
 	f.sent = max(f.sent, g.Revision)
+	f.inforce = max(f.inforce, g.Inforce)
 	return nil
 }
--- a/internal/control/state/state.go
+++ b/internal/control/state/state.go
@@ -4,6 +4,7 @@
 
 import (
 	"sort"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
@@ -28,14 +29,18 @@
 }
 
 // State is the replicated state. Resources in it are never changed, only replaced.
-// It is not safe for concurrent use.
+// Reads may run side by side; changes need the state alone.
 type State struct {
+	// mu guards lists, which reads fill.
+	mu        sync.Mutex
 	revision  uint64
 	resources map[Key]*wire.Resource
-	answered  map[string]answer
-	order     []string
-	history   []*wire.Resource
-	oldest    uint64
+	// lists are the resources of a kind by name; a change drops its kind's.
+	lists    map[spec.Kind][]*wire.Resource
+	answered map[string]answer
+	order    []string
+	history  []*wire.Resource
+	oldest   uint64
 }
 
 type answer struct {
@@ -45,7 +50,7 @@
 
 // New returns an empty state.
 func New() *State {
-	return &State{resources: map[Key]*wire.Resource{}, answered: map[string]answer{}}
+	return &State{resources: map[Key]*wire.Resource{}, lists: map[spec.Kind][]*wire.Resource{}, answered: map[string]answer{}}
 }
 
 // Revision returns the index of the last entry that was applied.
@@ -56,8 +61,12 @@
 	return s.resources[Key{k, name}]
 }
 
-// List returns the resources of a kind by name; an empty kind lists all.
+// List returns the resources of a kind by name; an empty kind lists all. The list must not
+// be changed.
 func (s *State) List(k spec.Kind) []*wire.Resource {
+	if list, ok := s.cached(k); ok {
+		return list
+	}
 	var list []*wire.Resource
 	for key, r := range s.resources {
 		if k == "" || key.Kind == k {
@@ -70,9 +79,27 @@
 		}
 		return list[i].Name < list[j].Name
 	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists[k] = list
 	return list
 }
 
+func (s *State) cached(k spec.Kind) ([]*wire.Resource, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list, ok := s.lists[k]
+	return list, ok
+}
+
+// forget drops the lists that a change of a kind makes old.
+func (s *State) forget(k spec.Kind) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.lists, k)
+	delete(s.lists, "")
+}
+
 // Since returns the changes after a revision, in order. It reports false where that
 // revision is too old for the history.
 func (s *State) Since(revision uint64) ([]*wire.Resource, bool) {
@@ -135,6 +162,7 @@
 	} else {
 		s.resources[key] = r
 	}
+	s.forget(key.Kind)
 	s.history = append(s.history, r)
 	if len(s.history) > maxHistory {
 		drop := len(s.history) - maxHistory/2
--- a/internal/tools/cmds/cmds.go
+++ b/internal/tools/cmds/cmds.go
@@ -61,6 +61,7 @@
 	Status  statusCommand  `command:"status" description:"Show the control quorum" long-description:"Example: agatespindle status"`
 	Dev     devCommand     `command:"dev" description:"Run a whole deployment in one process" long-description:"Runs three control hosts, two entry hosts and a group of three stand-in backend servers on loopback, with the database parts-ledger. Prints one JSON line once callers are served.\n\nExample: agatespindle dev --caller-port 6432"`
 	Standin standinCommand `command:"standin" description:"Run one stand-in backend server" long-description:"Serves development and tests.\n\nExample: agatespindle standin --name a --group parts-ledger --listen 127.0.0.1:7001 --data /tmp/a --host 127.0.0.1:6480"`
+	Measure measureCommand `command:"measure" description:"Measure failover gap, replica reads and slopes" long-description:"Runs the users' two deployments in one process, with stand-ins and latencies, and prints a table; the figures also go to a file.\n\nExample: agatespindle measure --quick"`
 	Version versionCommand `command:"version" description:"Show version and build" long-description:"Example: agatespindle version -o json"`
 }
 
@@ -70,7 +71,7 @@
 	defer stop()
 	e := &env{ctx: ctx, stdin: stdin, stdout: stdout, stderr: stderr}
 	r := &root{}
-	for _, c := range []interface{ use(*env) }{&r.Run, &r.Check, &r.Get, &r.Apply, &r.Delete, &r.Watch, &r.Status, &r.Dev, &r.Standin, &r.Version} {
+	for _, c := range []interface{ use(*env) }{&r.Run, &r.Check, &r.Get, &r.Apply, &r.Delete, &r.Watch, &r.Status, &r.Dev, &r.Standin, &r.Measure, &r.Version} {
 		c.use(e)
 	}
 	parser := flags.NewNamedParser("agatespindle", flags.HelpFlag|flags.PassDoubleDash)
--- /dev/null
+++ b/internal/tools/cmds/measure.go
@@ -0,0 +1,76 @@
+package cmds
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/agatespindle/agatespindle/internal/tools/trial"
+)
+
+type measureCommand struct {
+	base
+	Quick  bool   `long:"quick" description:"fewer failovers and shorter loads"`
+	Slopes bool   `long:"slopes" description:"measure the slopes for the target's size instead"`
+	JSON   string `long:"json" value-name:"FILE" description:"file for the figures" default:"measure.json"`
+}
+
+// Execute measures both deployments, or the slopes.
+func (c *measureCommand) Execute([]string) error {
+	if c.Slopes {
+		t, err := trial.Slopes(c.env.ctx)
+		if err != nil {
+			return err
+		}
+		return c.finish(t, func(w io.Writer) { trial.PrintSlopes(w, t) })
+	}
+	o := trial.Options{Failovers: 12, Load: 10 * time.Second, Sessions: 20}
+	if c.Quick {
+		o = trial.Options{Failovers: 3, Load: 3 * time.Second, Sessions: 20}
+	}
+	var all []trial.Result
+	for _, site := range []trial.Site{trial.BlueMountain, trial.Forening} {
+		r, err := trial.Run(c.env.ctx, site, o)
+		if err != nil {
+			return fmt.Errorf("%s: %w", site.Name, err)
+		}
+		all = append(all, r)
+	}
+	return c.finish(all, func(w io.Writer) { printResults(w, all) })
+}
+
+func (c *measureCommand) finish(v any, table func(io.Writer)) error {
+	w := tabwriter.NewWriter(c.env.stdout, 0, 8, 2, ' ', 0)
+	table(w)
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	b, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(c.JSON, append(b, '\n'), 0o644)
+}
+
+func printResults(w io.Writer, all []trial.Result) {
+	fmt.Fprintln(w, "SITE\tMEASURE\tCASE\tCOUNT\tVALUE\tMORE")
+	for _, r := range all {
+		for _, g := range r.Gaps {
+			fmt.Fprintf(w, "%s\tfailover gap\t%s\t%d\tmedian %.0f ms\tp99 %.0f ms, largest %.0f ms\n", r.Site, g.Cause, g.Count, g.Median, g.P99, g.Largest)
+		}
+		for _, s := range r.Shares {
+			fmt.Fprintf(w, "%s\treads by replicas\t%s\t%d\t%.1f %%\toracle %.1f %%, p50 %.1f ms, p99 %.1f ms, stale %d\n",
+				r.Site, s.Routing, s.Reads, 100*s.Replica, 100*s.Oracle, s.P50, s.P99, s.Stale)
+		}
+		fmt.Fprintf(w, "%s\tin force\tall hosts up\t10\tmedian %.1f ms\t\n", r.Site, r.InForce)
+		fmt.Fprintf(w, "%s\tacknowledged writes lost\t\t\t%d\t\n", r.Site, r.Lost)
+		for name, n := range r.Counters {
+			if n > 0 {
+				fmt.Fprintf(w, "%s\tcounter\t%s\t%d\t\t\n", r.Site, name, n)
+			}
+		}
+	}
+}
--- a/internal/tools/host/host.go
+++ b/internal/tools/host/host.go
@@ -54,6 +54,8 @@
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 	// Server, where set, returns the adapter for a backend server; it is a seam for tests.
 	Server func(addr, group string) adapt.Server
+	// Routes, where set, are the limits of routing; it is a seam for measurements.
+	Routes *route.Options
 	// Ready, where set, is called once all services run.
 	Ready func()
 }
@@ -142,6 +144,9 @@
 		Host: cfg.Host, Center: cfg.Center, Agent: h.Agent, Server: h.opt.Server, Silence: cfg.Silence.D(),
 		Routes: route.DefaultOptions(), Log: h.Log, Meter: h.Meter, Now: time.Now,
 	}
+	if h.opt.Routes != nil {
+		h.Holder.Routes = *h.opt.Routes
+	}
 	h.Holder.Prepare()
 	h.Agent.Suspects = h.Holder.Suspects
 	h.Agent.Released = h.Holder.Released
--- a/internal/traffic/holder/holder.go
+++ b/internal/traffic/holder/holder.go
@@ -19,8 +19,12 @@
 	"github.com/agatespindle/agatespindle/internal/traffic/route"
 )
 
-// upkeepInterval is the longest time between two rounds of upkeep.
-const upkeepInterval = 50 * time.Millisecond
+const (
+	// upkeepInterval is the longest time between two rounds of upkeep.
+	upkeepInterval = 50 * time.Millisecond
+	// sweepInterval is the longest time between two looks at all groups.
+	sweepInterval = 5 * time.Second
+)
 
 // Holder holds groups. The exported fields are set before Run.
 type Holder struct {
@@ -34,12 +38,17 @@
 	Silence time.Duration
 	// Routes are the limits of routing.
 	Routes route.Options
-	Log    *logs.Logger
-	Meter  *meter.Meter
+	// PrimaryRead, where set, is called for each read that goes to the primary, with the
+	// position that a replica would have needed; it is a seam for measurements.
+	PrimaryRead func(group string, position uint64)
+	Log         *logs.Logger
+	Meter       *meter.Meter
 	// Now returns the present time; it is a seam for tests.
 	Now func() time.Time
 
 	ctx     context.Context
+	seen    *agent.View
+	swept   time.Time
 	mu      sync.Mutex
 	pools   map[string]*pool
 	watched map[string]*watched
@@ -73,7 +82,11 @@
 		defer tick.Stop()
 		for ctx.Err() == nil {
 			view, changed := h.Agent.Changes()
-			h.upkeep(h.Now(), view)
+			if now := h.Now(); view != h.seen || now.Sub(h.swept) >= sweepInterval {
+				h.sweep(now, view)
+			} else {
+				h.upkeep(now, view)
+			}
 			select {
 			case <-ctx.Done():
 			case <-tick.C:
@@ -98,10 +111,29 @@
 	}
 }
 
-// upkeep brings pools and probes in line with the view.
+// upkeep looks after the groups that this host holds or observes. Its cost does not grow
+// with the groups of other hosts.
 func (h *Holder) upkeep(now time.Time, view *agent.View) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	for name := range h.pools {
+		r := view.Get(spec.Groups, name)
+		if r.GetGroup().GetHolder() == h.Host {
+			h.hold(now, view, r)
+		} else {
+			h.letGo(now, name)
+		}
+	}
+	for _, w := range h.watched {
+		h.noteFailure(now, w)
+	}
+}
+
+// sweep brings pools and probes in line with a view that has changed.
+func (h *Holder) sweep(now time.Time, view *agent.View) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.seen, h.swept = view, now
 	hosts := place.Entries(view.List(spec.Hosts))
 	seen := map[string]bool{}
 	for _, r := range view.List(spec.Groups) {
@@ -167,6 +199,11 @@
 		w.name = r.Group.Primary
 	}
 	w.term = r.Group.Term
+	h.noteFailure(now, w)
+}
+
+// noteFailure tells control at once when a primary's failure is noticed or over.
+func (h *Holder) noteFailure(now time.Time, w *watched) {
 	if failed := w.probe.Failed(now); failed != w.failed {
 		w.failed = failed
 		h.Agent.Kick()
--- a/internal/traffic/holder/work.go
+++ b/internal/traffic/holder/work.go
@@ -262,12 +262,32 @@
 		leave()
 		return Outcome{}, err
 	}
+	if b.Mayread {
+		w.countRead(b)
+	}
 	if b.Key != "" && w.primary {
 		return w.keyed(ctx, b, sink, leave)
 	}
 	return w.send(ctx, b, sink, leave)
 }
 
+// countRead counts a read by the kind of server that runs it.
+func (w *Work) countRead(b *wire.Batch) {
+	p := w.pool
+	if !w.primary {
+		p.h.Meter.Add("reads.replica", 1)
+		return
+	}
+	p.h.Meter.Add("reads.primary", 1)
+	if p.h.PrimaryRead == nil {
+		return
+	}
+	p.mu.Lock()
+	position, _ := w.position(p.h.Now(), b)
+	p.mu.Unlock()
+	p.h.PrimaryRead(p.group, position)
+}
+
 // admit waits for a slot and a connection. It gives the slot back while no connection is
 // free, since those who hold connections need slots to come to an end.
 func (w *Work) admit(ctx context.Context, s *server) (func(), *conn, error) {
--- a/internal/traffic/route/route.go
+++ b/internal/traffic/route/route.go
@@ -48,6 +48,8 @@
 	Patience time.Duration
 	// Spill is the load in slots of the best replica at which an idle primary helps out.
 	Spill int
+	// PrimaryOnly sends every read to the primary; it is the baseline of measurements.
+	PrimaryOnly bool
 }
 
 // DefaultOptions returns the limits that holders use.
@@ -61,7 +63,7 @@
 // Choose returns the server for a request.
 func (o Options) Choose(need Need, servers []Server) Choice {
 	primary, hasPrimary := find(servers)
-	if !need.Read {
+	if !need.Read || o.PrimaryOnly {
 		if !hasPrimary {
 			return Choice{Wait: idleWait}
 		}
