--- a/internal/control/agent/agent.go
+++ b/internal/control/agent/agent.go
@@ -63,7 +63,7 @@
 
 // Prepare makes the agent ready for calls; Run must follow.
 func (a *Agent) Prepare() {
-	a.view = newView(0, nil)
+	a.view = NewView(0, nil)
 	a.changed = make(chan struct{})
 	a.kick = make(chan struct{}, 1)
 }
@@ -278,7 +278,7 @@
 		return nil
 	}
 	if g.Reset_ {
-		a.view = newView(g.Revision, g.Changes)
+		a.view = NewView(g.Revision, g.Changes)
 		a.history = nil
 		a.oldest = g.Revision
 	} else {
--- a/internal/control/agent/view.go
+++ b/internal/control/agent/view.go
@@ -18,7 +18,8 @@
 	byKind    map[spec.Kind][]*wire.Resource
 }
 
-func newView(revision uint64, list []*wire.Resource) *View {
+// NewView returns a view of resources at a revision.
+func NewView(revision uint64, list []*wire.Resource) *View {
 	v := &View{Revision: revision, resources: map[state.Key]*wire.Resource{}}
 	for _, r := range list {
 		v.resources[state.Key{Kind: spec.Kind(r.Kind), Name: r.Name}] = r
--- a/internal/tools/cmds/measure.go
+++ b/internal/tools/cmds/measure.go
@@ -21,7 +21,7 @@
 // Execute measures both deployments, or the slopes.
 func (c *measureCommand) Execute([]string) error {
 	if c.Slopes {
-		t, err := trial.Slopes(c.env.ctx)
+		t, err := trial.Slopes(c.env.ctx, func(s trial.Slope) { fmt.Fprintf(c.env.stderr, "%s: %.4g %s per %s\n", s.Name, s.Slope, s.Unit, s.Per) })
 		if err != nil {
 			return err
 		}
