--- a/internal/backend/adapt/adapt.go
+++ b/internal/backend/adapt/adapt.go
@@ -49,7 +49,7 @@
 type Server struct {
 	// Status asks for the status.
 	Status func(ctx context.Context) (Status, error)
-	// Watch calls seen with each change of the status, and at short intervals without one,
+	// Watch calls seen with each change of the status, and ten times a second without one,
 	// until the context or the connection ends. It returns why.
 	Watch func(ctx context.Context, seen func(Status)) error
 	// Fence makes the server accept a term: it takes no write of a lower one from then on.
--- a/internal/backend/adapt/pg.go
+++ b/internal/backend/adapt/pg.go
@@ -100,6 +100,7 @@
 	if err := front.Flush(); err != nil {
 		return err
 	}
+	var s Status
 	for {
 		conn.SetReadDeadline(time.Now().Add(silenceLimit))
 		m, err := front.Receive()
@@ -108,9 +109,8 @@
 		}
 		switch m := m.(type) {
 		case *pgproto3.DataRow:
-			var s Status
-			if err := json.Unmarshal(m.Values[0], &s); err != nil {
-				return fmt.Errorf("decode status: %w", err)
+			if err := s.update(m.Values); err != nil {
+				return err
 			}
 			if !take(s) {
 				return nil
@@ -123,6 +123,19 @@
 	}
 }
 
+// update takes in a row of a status; an empty row tells that nothing has changed.
+func (s *Status) update(values [][]byte) error {
+	if len(values) == 0 {
+		return nil
+	}
+	var next Status
+	if err := json.Unmarshal(values[0], &next); err != nil {
+		return fmt.Errorf("decode status: %w", err)
+	}
+	*s = next
+	return nil
+}
+
 // open connects and goes through the startup of the protocol.
 func (p *pgServer) open(ctx context.Context, database string) (Link, error) {
 	conn, err := p.dial(ctx, p.addr)
--- a/internal/backend/stand/instance.go
+++ b/internal/backend/stand/instance.go
@@ -49,7 +49,7 @@
 	DefaultSlots       = 2
 	DefaultConnections = 16
 	DefaultConnectCost = 12 * time.Millisecond
-	beatInterval       = 50 * time.Millisecond
+	beatInterval       = 100 * time.Millisecond
 )
 
 // Instance is one backend server.
--- a/internal/backend/stand/session__admin.go
+++ b/internal/backend/stand/session__admin.go
@@ -71,15 +71,20 @@
 	return nil
 }
 
-// watch sends the status at each change and at each beat, until the connection ends.
+// watch sends the status at each change, and an empty row at each beat without one, until
+// the connection ends.
 func (s *session) watch() error {
 	beat := time.NewTicker(beatInterval)
 	defer beat.Stop()
+	var sent adapt.Status
 	for {
 		st, changed := s.in.wait()
-		if err := s.row(st); err != nil {
+		if st == sent {
+			s.back.Send(&pgproto3.DataRow{})
+		} else if err := s.row(st); err != nil {
 			return err
 		}
+		sent = st
 		s.conn.SetWriteDeadline(time.Now().Add(10 * time.Second))
 		if err := s.back.Flush(); err != nil {
 			return err
--- a/internal/tools/cmds/measure.go
+++ b/internal/tools/cmds/measure.go
@@ -15,13 +15,14 @@
 	base
 	Quick  bool   `long:"quick" description:"fewer failovers and shorter loads"`
 	Slopes bool   `long:"slopes" description:"measure the slopes for the target's size instead"`
+	Only   string `long:"only" value-name:"NAME" description:"measure only the slopes whose name starts so"`
 	JSON   string `long:"json" value-name:"FILE" description:"file for the figures" default:"measure.json"`
 }
 
 // Execute measures both deployments, or the slopes.
 func (c *measureCommand) Execute([]string) error {
 	if c.Slopes {
-		t, err := trial.Slopes(c.env.ctx, func(s trial.Slope) { fmt.Fprintf(c.env.stderr, "%s: %.4g %s per %s\n", s.Name, s.Slope, s.Unit, s.Per) })
+		t, err := trial.Slopes(c.env.ctx, c.Only, func(s trial.Slope) { fmt.Fprintf(c.env.stderr, "%s: %.4g %s per %s\n", s.Name, s.Slope, s.Unit, s.Per) })
 		if err != nil {
 			return err
 		}
--- a/internal/tools/host/control.go
+++ b/internal/tools/host/control.go
@@ -57,7 +57,7 @@
 	h.links.Handlers[driver.BirthService] = c.birth.Serve
 	h.links.Handlers[driver.Service] = c.when(c.driver.Serve)
 	h.links.Handlers[leader.LeaseService] = c.when(c.leader.ServeLease)
-	h.links.Handlers[leader.CallService] = c.when(c.leader.ServeCall)
+	h.links.Handlers[leader.CallService] = c.serveCall
 	return nil
 }
 
@@ -70,6 +70,17 @@
 	}
 }
 
+// serveCall serves calls; before the log is settled it answers that they did not run.
+func (c *control) serveCall(ctx context.Context, from string, conn *link.Conn) {
+	if c.settled.Load() {
+		c.leader.ServeCall(ctx, from, conn)
+		return
+	}
+	if conn.Recv(&wire.Call{}) == nil {
+		_ = conn.Send(&wire.Reply{Verdict: fault.NotRun.String(), Reason: string(fault.NoLeader), Text: "control has no quorum yet"})
+	}
+}
+
 // members returns the membership that this host knows, or nil before there is one.
 func (c *control) members() *wire.Members {
 	if c.settled.Load() {
--- a/internal/tools/host/host.go
+++ b/internal/tools/host/host.go
@@ -125,7 +125,13 @@
 	if h.Config.Has(conf.Entry) {
 		h.buildEntry()
 	}
-	h.register(api)
+	token, err := readToken(h.Config.Token)
+	if err != nil {
+		ln.Close()
+		api.Close()
+		return err
+	}
+	h.register(api, token)
 	return nil
 }
 
@@ -158,7 +164,7 @@
 }
 
 // register hands the services to the kernel, in the order in which they start.
-func (h *Host) register(api net.Listener) {
+func (h *Host) register(api net.Listener, token string) {
 	k := h.Kernel
 	k.Register(kernel.Service{Name: ServiceLink, Value: h.links, Start: h.startLink})
 	if h.control != nil {
@@ -169,7 +175,7 @@
 		k.Register(kernel.Service{Name: ServiceHolder, Value: h.Holder, Start: running(h.Holder.Run), Drain: h.handOver})
 	}
 	srv := &rest.Server{
-		Listener: api, Agent: h.Agent, Log: h.Log, Meter: h.Meter, Token: readToken(h.Config.Token), Now: time.Now, Ready: h.ready,
+		Listener: api, Agent: h.Agent, Log: h.Log, Meter: h.Meter, Token: token, Now: time.Now, Ready: h.ready,
 	}
 	k.Register(kernel.Service{Name: ServiceAPI, Value: srv, Start: running(srv.Run)})
 	if h.Entry != nil {
@@ -187,15 +193,21 @@
 	return h.links.Run(ctx), nil
 }
 
-func readToken(path string) string {
+// readToken reads the operators' token. A file that is named but holds none is an error: the
+// API must not be open by mistake.
+func readToken(path string) (string, error) {
 	if path == "" {
-		return ""
+		return "", nil
 	}
 	b, err := os.ReadFile(path)
 	if err != nil {
-		return ""
+		return "", fmt.Errorf("read operators' token: %w", err)
+	}
+	token := strings.TrimSpace(string(b))
+	if token == "" {
+		return "", fmt.Errorf("file %s holds no token; write one or remove the setting", path)
 	}
-	return strings.TrimSpace(string(b))
+	return token, nil
 }
 
 // ready reports whether the host may get callers: it holds a lease, and groups have primaries.
--- a/internal/tools/trial/budget.go
+++ b/internal/tools/trial/budget.go
@@ -16,10 +16,8 @@
 	limitBytes      = 9000.0
 	limitControl    = 30
 	holderInstances = 3
-	// statusBytes is the size of a status with its frame, sent by each watched backend server
-	// at each beat.
-	statusBytes = 190
-	statusBeats = 20
+	// otherObservers is the number of hosts that watch a primary beside the holder.
+	otherObservers = 2
 )
 
 // Budget is one line of the table: what a role needs at the target's size.
@@ -60,7 +58,7 @@
 		{"entry host", "taking in changes", "slope x 18,000 x changes/s", 100 * at["taking in a change"] * targetGroups * changes / 1e6, "% of a core", limitProcessor},
 		{"entry host", "lease", "half of slope", at["lease, both sides"] / 2, "% of a core", limitProcessor},
 		{"entry host", "lease traffic", "slope", at["lease, sent and received"], "B/s", limitBytes},
-		{"entry host", "status of held backend servers", "groups/host x 3 x 20/s x 190 B", perHost * holderInstances * statusBeats * statusBytes, "B/s", limitBytes},
+		{"entry host", "watches of idle backend servers", "slope x groups/host x (3 held + 2 observed)", perHost * (holderInstances + otherObservers) * at["watch of an idle backend server"], "B/s", limitBytes},
 		{"entry host", "idle callers", "slope x callers/host", at["idle caller"] * targetCallers / targetHosts, "B", 0},
 		{"entry host", "statements forwarded", "(two hosts - direct) x statements/s/host", 100 * (at["statement, through two hosts"] - at["statement, direct"]) * targetRate / targetHosts / 1e6, "% of a core", 0},
 		{"control leader", "state, all groups in one quorum", "slope x 18,000", at["control state"] * targetGroups, "B", 0},
--- a/internal/tools/trial/net.go
+++ b/internal/tools/trial/net.go
@@ -28,6 +28,7 @@
 }
 
 // dial opens a connection with a one-way latency; nothing passes while its address is cut.
+// Without a latency it is a plain one, so that costs are the proxy's own.
 func (n *network) dial(ctx context.Context, addr string, latency time.Duration) (net.Conn, error) {
 	for n.isCut(addr) {
 		select {
@@ -41,6 +42,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if latency == 0 {
+		return raw, nil
+	}
 	near, far := net.Pipe()
 	out, in := newPipe(n, addr, latency), newPipe(n, addr, latency)
 	go out.run(far, raw)
--- a/internal/tools/trial/points.go
+++ b/internal/tools/trial/points.go
@@ -15,6 +15,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/agatespindle/agatespindle/internal/backend/adapt"
 	"github.com/agatespindle/agatespindle/internal/base/conf"
 	"github.com/agatespindle/agatespindle/internal/base/link"
 	"github.com/agatespindle/agatespindle/internal/base/logs"
@@ -45,8 +46,10 @@
 		{"host's copy", "B", "group", groups, viewBytes},
 		{"taking in a change", "us", "group", groups, changeMicros},
 		{"leader's look at all groups", "% of a core", "group", groups, leaderLoad},
+		{"commands through the log, 64 at once", "ms", "command", groups, commandMillis},
 		{"lease, both sides", "% of a core", "host", hosts, leaseLoad},
 		{"lease, sent and received", "B/s", "host", hosts, leaseBytes},
+		{"watch of an idle backend server", "B/s", "server", []float64{4, 8, 16, 32}, watchBytes},
 		{"idle caller", "B", "connection", callers, callerBytes},
 		{"statement, direct", "us", "statement", []float64{1000, 2000, 4000, 8000}, statementMicros(-1)},
 		{"statement, through the holder", "us", "statement", []float64{1000, 2000, 4000, 8000}, statementMicros(1)},
@@ -192,6 +195,21 @@
 	return load(ctx), nil
 }
 
+// commandMillis returns the time of n commands through one host's log, synced to disk.
+func commandMillis(ctx context.Context, n int) (float64, error) {
+	h, stop, err := lone(ctx, slopePort, conf.Control)
+	if err != nil {
+		return 0, err
+	}
+	defer stop()
+	if err := propose(ctx, h.Agent, resources(1), commandsPerGroup); err != nil {
+		return 0, err
+	}
+	at := time.Now()
+	err = propose(ctx, h.Agent, resources(n/commandsPerGroup), commandsPerGroup)
+	return float64(time.Since(at).Microseconds()) / 1000, err
+}
+
 // counted counts the bytes of a connection both ways.
 type counted struct {
 	net.Conn
@@ -258,6 +276,38 @@
 	return bytes, err
 }
 
+// watchBytes watches one idle backend server n times, as n servers are watched once.
+func watchBytes(ctx context.Context, n int) (float64, error) {
+	d, err := start(ctx, small, slopePort+100, nil)
+	if err != nil {
+		return 0, err
+	}
+	defer d.stop()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var total atomic.Int64
+	dial := func(ctx context.Context, addr string) (net.Conn, error) {
+		var nd net.Dialer
+		raw, err := nd.DialContext(ctx, "tcp", addr)
+		return counted{raw, &total}, err
+	}
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	addr := d.servers[d.group(0)+"-a"].addr
+	for range n {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			_ = adapt.PostgresOver(addr, "watcher", d.group(0), dial).Watch(ctx, func(adapt.Status) {})
+		}()
+	}
+	time.Sleep(settlePause)
+	before := total.Load()
+	time.Sleep(span)
+	return float64(total.Load()-before) / span.Seconds(), nil
+}
+
 func callerBytes(ctx context.Context, n int) (float64, error) {
 	d, err := start(ctx, small, slopePort+100, nil)
 	if err != nil {
@@ -327,6 +377,25 @@
 	}
 }
 
+// Statement returns a function that runs one statement on a path through a number of hosts,
+// and one that ends it. The deployment is small and has no latencies.
+func Statement(ctx context.Context, through int) (run func() error, stop func(), err error) {
+	d, err := start(ctx, small, slopePort+100, nil)
+	if err != nil {
+		return nil, nil, err
+	}
+	conn, err := d.path(ctx, through)
+	if err != nil {
+		d.stop()
+		return nil, nil, err
+	}
+	run = func() error {
+		_, err := conn.Exec(ctx, "SELECT 1").ReadAll()
+		return err
+	}
+	return run, func() { conn.Close(ctx); d.stop() }, nil
+}
+
 // path opens a connection that goes straight to a replica, to the group's holder, or to
 // another host that forwards to it.
 func (d *deployment) path(ctx context.Context, through int) (*pgconn.PgConn, error) {
--- a/internal/tools/trial/slopes.go
+++ b/internal/tools/trial/slopes.go
@@ -6,6 +6,7 @@
 	"io"
 	"math"
 	"runtime"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -54,11 +55,14 @@
 	at              func(ctx context.Context, size int) (float64, error)
 }
 
-// Slopes measures all slopes and works out the budget. It passes each slope to seen as soon
-// as it is measured.
-func Slopes(ctx context.Context, seen func(Slope)) (Table, error) {
+// Slopes measures the slopes whose name starts with only and works out the budget, which
+// needs them all. It passes each slope to seen as soon as it is measured.
+func Slopes(ctx context.Context, only string, seen func(Slope)) (Table, error) {
 	var t Table
 	for _, m := range measurements() {
+		if !strings.HasPrefix(m.name, only) {
+			continue
+		}
 		s := Slope{Name: m.name, Unit: m.unit, Per: m.per, Sizes: m.sizes}
 		for _, size := range m.sizes {
 			v, err := m.at(ctx, int(size))
@@ -71,7 +75,9 @@
 		seen(s)
 		t.Slopes = append(t.Slopes, s)
 	}
-	t.Budget = budget(t.Slopes)
+	if only == "" {
+		t.Budget = budget(t.Slopes)
+	}
 	return t, nil
 }
 
--- a/internal/tools/whole/cluster_test.go
+++ b/internal/tools/whole/cluster_test.go
@@ -50,6 +50,8 @@
 	Lag time.Duration
 	// Cost is the time of a statement in its slot.
 	Cost time.Duration
+	// Token is what the tests' own requests present.
+	Token string
 	// Change, where set, changes the settings of each host.
 	Change func(*conf.Config)
 }
@@ -58,6 +60,7 @@
 type cluster struct {
 	t       *testing.T
 	dir     string
+	token   string
 	configs map[string]conf.Config
 	names   []string
 	servers map[string][]string
@@ -66,7 +69,7 @@
 
 func newCluster(t *testing.T, cfg clusterConfig) *cluster {
 	t.Helper()
-	c := &cluster{t: t, dir: t.TempDir(), configs: map[string]conf.Config{}, servers: map[string][]string{}, procs: map[string]*exec.Cmd{}}
+	c := &cluster{t: t, dir: t.TempDir(), token: cfg.Token, configs: map[string]conf.Config{}, servers: map[string][]string{}, procs: map[string]*exec.Cmd{}}
 	t.Cleanup(c.stopAll)
 	c.makeHosts(cfg)
 	for _, name := range c.names {
@@ -301,6 +304,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if c.token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.token)
+	}
 	for name, v := range header {
 		req.Header[name] = v
 	}
--- a/internal/traffic/entry/session.go
+++ b/internal/traffic/entry/session.go
@@ -147,10 +147,11 @@
 	s.work = w
 }
 
-// errorResponse returns the protocol's form of an error; the detail carries the verdict.
+// errorResponse returns the protocol's form of an error; the detail carries the verdict. The
+// cause stays in the log: it may name addresses that are none of a caller's business.
 func errorResponse(e *fault.Error, severity string) *pgproto3.ErrorResponse {
 	return &pgproto3.ErrorResponse{
-		Severity: severity, SeverityUnlocalized: severity, Code: e.Code(), Message: e.Error(), Hint: e.Hint,
+		Severity: severity, SeverityUnlocalized: severity, Code: e.Code(), Message: e.Text, Hint: e.Hint,
 		Detail: "verdict=" + e.Verdict.String() + " reason=" + string(e.Reason),
 	}
 }
--- a/internal/traffic/entry/session__run.go
+++ b/internal/traffic/entry/session__run.go
@@ -55,6 +55,7 @@
 // it: what it sends next must not run outside of one.
 func (s *session) spoil(e *fault.Error) {
 	s.srv.Meter.Refused(e.Reason)
+	s.srv.Log.WithError(e).WithField("caller", s.user).WithField("verdict", e.Verdict.String()).Debug("request failed")
 	if s.status == holder.Idle {
 		return
 	}
--- a/internal/traffic/holder/serve.go
+++ b/internal/traffic/holder/serve.go
@@ -95,7 +95,7 @@
 
 func failure(err error) *wire.Piece {
 	e := fault.Of(err)
-	return &wire.Piece{Last: true, Failed: true, Reason: string(e.Reason), Text: e.Error(), Verdict: uint32(e.Verdict)}
+	return &wire.Piece{Last: true, Failed: true, Reason: string(e.Reason), Text: e.Text, Verdict: uint32(e.Verdict)}
 }
 
 // Remote is a unit of work on a holder that is another host.
