--- a/internal/tools/trial/slopes.go
+++ b/internal/tools/trial/slopes.go
@@ -87,6 +87,9 @@
 	for _, s := range t.Slopes {
 		fmt.Fprintf(w, "%s\t%s per %s\t%v\t%.4g\t%.4g\t%.4g\t%.3f\n", s.Name, s.Unit, s.Per, s.Sizes, s.Values, s.Slope, s.Base, s.Straight)
 	}
+	if len(t.Budget) == 0 {
+		return
+	}
 	fmt.Fprintln(w)
 	fmt.Fprintln(w, "ROLE\tQUANTITY\tFORMULA\tVALUE\tLIMIT\tFITS")
 	for _, b := range t.Budget {
