--- a/internal/tools/whole/path_integration_test.go
+++ b/internal/tools/whole/path_integration_test.go
@@ -91,6 +91,7 @@
 		So(code(err), ShouldEqual, "3D000")
 	})
 	Convey("A large answer comes whole", t, func() {
+		must(t, one, "SET agatespindle.timeout = '60s'")
 		must(t, one, "CREATE TABLE big (v TEXT)")
 		must(t, one, "INSERT INTO big WITH RECURSIVE c(x) AS (SELECT 1 UNION ALL SELECT x+1 FROM c WHERE x < 20000) SELECT 'row ' || x FROM c")
 		So(len(must(t, two, "SELECT v FROM big")), ShouldEqual, 20000)
