tests: Send random messages with whole headers to an entry host

Cause: the random bytes of the bad-input test mostly fail at the header, so the reading of extended batches behind it was hardly reached, and it has no fuzz target (its decoders are the library's, its planning needs a session).

--- a/internal/tools/whole/input_integration_test.go
+++ b/internal/tools/whole/input_integration_test.go
@@ -66,6 +66,24 @@
 	return string(b), err
 }
 
+// randomMessages returns messages with whole headers and random bodies, so that each decoder
+// behind the header is reached.
+func randomMessages(r *rand.Rand) []byte {
+	const kinds = "PBDECSHQFdcfPBDECS"
+	var b []byte
+	for range 1 + r.Intn(6) {
+		body := make([]byte, r.Intn(24))
+		r.Read(body)
+		if r.Intn(2) == 0 {
+			copy(body, "\x00\x00\x00\x00\x00\x00")
+		}
+		b = append(b, kinds[r.Intn(len(kinds))])
+		b = binary.BigEndian.AppendUint32(b, uint32(len(body)+4))
+		b = append(b, body...)
+	}
+	return b
+}
+
 func TestBadInputEndsItsConnectionAlone(t *testing.T) {
 	c := newCluster(t, clusterConfig{Control: 1, Entry: 1})
 	good, err := c.connect("entry-1", "good")
@@ -117,6 +135,12 @@
 			r.Read(b)
 			c.raw(i%2 == 0, b).Close()
 		}
+		for range 200 {
+			conn := c.raw(true, randomMessages(r))
+			conn.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+			io.Copy(io.Discard, conn)
+			conn.Close()
+		}
 		vanish := c.raw(true, nil)
 		q, _ := (&pgproto3.Query{String: "BEGIN; INSERT INTO t VALUES (1)"}).Encode(nil)
 		vanish.Write(q)
