clean-up: Say once what was written several times

The same sleep that a context ends stood in five packages; three background calls of a pool had one shape; the revision in force was raised in two places, one of them each 20 ms even with nothing outstanding; each message of a control leader took the state's lock and made a map; contains stood beside slices.Contains; a method only named a field. Change: package clock; pool.background; one raiseInForce that looks at hosts only while a revision is outstanding; the leader's address in an atomic pointer, stored when it changes. Behaviour, bounds and tests stay as they are. Left as it is: Grantor.Holds, which only a test calls.

--- a/internal/control/agent/agent.go
+++ b/internal/control/agent/agent.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/agatespindle/agatespindle/internal/base/clock"
 	"github.com/agatespindle/agatespindle/internal/base/conf"
 	"github.com/agatespindle/agatespindle/internal/base/fault"
 	"github.com/agatespindle/agatespindle/internal/base/link"
@@ -77,20 +78,13 @@
 				a.Log.WithError(err).Debug("lease stream ended")
 				a.Meter.Add("lease.streams", 1)
 			}
-			pause(ctx, retryPause)
+			clock.Sleep(ctx, retryPause)
 		}
 		done <- nil
 	}()
 	return done
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // Kick renews the lease at once, to confirm a revision or to tell of a failure.
 func (a *Agent) Kick() {
 	select {
--- a/internal/control/agent/calls.go
+++ b/internal/control/agent/calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/agatespindle/agatespindle/internal/base/clock"
 	"github.com/agatespindle/agatespindle/internal/base/fault"
 	"github.com/agatespindle/agatespindle/internal/base/wire"
 	"github.com/agatespindle/agatespindle/internal/control/leader"
@@ -34,7 +35,7 @@
 			break
 		}
 		a.Meter.Retried(e.Reason)
-		pause(ctx, retryPause)
+		clock.Sleep(ctx, retryPause)
 	}
 	if e := fault.Of(last); maybe && e.Verdict == fault.NotRun {
 		return nil, &fault.Error{Verdict: fault.MayHaveRun, Reason: e.Reason, Text: "an earlier try may have run", Cause: last}
--- a/internal/control/driver/birth.go
+++ b/internal/control/driver/birth.go
@@ -6,6 +6,7 @@
 	"sort"
 	"time"
 
+	"github.com/agatespindle/agatespindle/internal/base/clock"
 	"github.com/agatespindle/agatespindle/internal/base/conf"
 	"github.com/agatespindle/agatespindle/internal/base/link"
 	"github.com/agatespindle/agatespindle/internal/base/logs"
@@ -55,7 +56,7 @@
 			b.Log.WithField("members", len(m.Members)).Info("first membership settled")
 			return r, b.Store.Install(r.Snapshot)
 		}
-		sleep(ctx, redialPause)
+		clock.Sleep(ctx, redialPause)
 	}
 	return r, ctx.Err()
 }
--- a/internal/control/driver/driver.go
+++ b/internal/control/driver/driver.go
@@ -77,7 +77,7 @@
 	lastCut uint64
 	senders map[string]*sender
 	// said is the address of the leader by its own word.
-	said map[string]string
+	said atomic.Pointer[wire.Member]
 	wg   sync.WaitGroup
 }
 
--- a/internal/control/driver/sender.go
+++ b/internal/control/driver/sender.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/agatespindle/agatespindle/internal/base/clock"
 	"github.com/agatespindle/agatespindle/internal/base/link"
 	"github.com/agatespindle/agatespindle/internal/base/wire"
 	"github.com/agatespindle/agatespindle/internal/control/quorum"
@@ -48,19 +49,19 @@
 	if addr := addrOf(d.core.Members(), id); addr != "" {
 		return addr
 	}
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	return d.said[id]
+	if said := d.said.Load(); said.GetId() == id {
+		return said.GetAddr()
+	}
+	return ""
 }
 
 // note keeps what a leader says of its address.
 func (d *Driver) note(m *wire.Message) {
-	if m.Addr == "" {
+	said := d.said.Load()
+	if m.Addr == "" || (said.GetId() == m.From && said.GetAddr() == m.Addr) {
 		return
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.said = map[string]string{m.From: m.Addr}
+	d.said.Store(&wire.Member{Id: m.From, Addr: m.Addr})
 }
 
 func (d *Driver) runSender(ctx context.Context, s *sender) {
@@ -86,7 +87,7 @@
 	if c == nil {
 		var err error
 		if c, err = d.Dialer.Open(ctx, s.addr, Service); err != nil {
-			sleep(ctx, redialPause)
+			clock.Sleep(ctx, redialPause)
 			return nil
 		}
 	}
@@ -98,13 +99,6 @@
 	return c
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // Serve takes messages of another control host from a stream; it is a link.Handler.
 func (d *Driver) Serve(ctx context.Context, _ string, c *link.Conn) {
 	for ctx.Err() == nil {
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -139,7 +139,7 @@
 	}
 	l.Driver.View(func(s *state.State) {
 		l.grantor.Committed(now, s.Revision())
-		l.raiseInForce(l.grantor.InForce(now, hostNames(s), s.Revision()))
+		l.raiseInForce(now, s)
 		if !whole && s.Revision() == l.swept && now.Sub(l.sweptAt) < sweepInterval {
 			l.failovers(ctx, now, s, l.unsettled(s))
 			return
@@ -153,8 +153,13 @@
 	l.Meter.Set("control.inforce", int64(l.inforce))
 }
 
-// raiseInForce moves the revision in force forward and lets hosts know. The caller holds mu.
-func (l *Leader) raiseInForce(revision uint64) {
+// raiseInForce moves the revision in force forward as far as hosts have confirmed, and lets
+// them know. The caller holds mu.
+func (l *Leader) raiseInForce(now time.Time, s *state.State) {
+	if s.Revision() <= l.inforce {
+		return
+	}
+	revision := l.grantor.InForce(now, hostNames(s), s.Revision())
 	if revision <= l.inforce {
 		return
 	}
--- a/internal/control/leader/leader__lease.go
+++ b/internal/control/leader/leader__lease.go
@@ -105,20 +105,11 @@
 	if len(r.Suspects)+len(r.Released) > 0 {
 		l.wake()
 	} else {
-		l.raiseFor(now)
+		l.Driver.View(func(s *state.State) { l.raiseInForce(now, s) })
 	}
 	return reason
 }
 
-// raiseFor sees whether a confirmation has put a revision in force.
-func (l *Leader) raiseFor(now time.Time) {
-	l.Driver.View(func(s *state.State) {
-		if s.Revision() > l.inforce {
-			l.raiseInForce(l.grantor.InForce(now, hostNames(s), s.Revision()))
-		}
-	})
-}
-
 // joined makes sure that the host stands in the log as it is now; before that it gets no
 // lease. A process of the same name takes its place once the old one's lease has run out.
 func (l *Leader) joined(ctx context.Context, now time.Time, host string, run *wire.HostRun) fault.Reason {
--- a/internal/tools/host/control.go
+++ b/internal/tools/host/control.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/agatespindle/agatespindle/internal/backend/adapt"
+	"github.com/agatespindle/agatespindle/internal/base/clock"
 	"github.com/agatespindle/agatespindle/internal/base/fault"
 	"github.com/agatespindle/agatespindle/internal/base/link"
 	"github.com/agatespindle/agatespindle/internal/base/wire"
@@ -134,7 +135,7 @@
 	done := make(chan error, 1)
 	go func() {
 		for ctx.Err() == nil {
-			sleep(ctx, joinInterval)
+			clock.Sleep(ctx, joinInterval)
 			if !c.votes() {
 				c.ask(ctx)
 			}
--- a/internal/tools/host/host.go
+++ b/internal/tools/host/host.go
@@ -17,6 +17,7 @@
 	"github.com/samber/oops"
 
 	"github.com/agatespindle/agatespindle/internal/backend/adapt"
+	"github.com/agatespindle/agatespindle/internal/base/clock"
 	"github.com/agatespindle/agatespindle/internal/base/conf"
 	"github.com/agatespindle/agatespindle/internal/base/kernel"
 	"github.com/agatespindle/agatespindle/internal/base/link"
@@ -220,7 +221,7 @@
 		if h.Holder.Idle() && h.released() {
 			return
 		}
-		sleep(ctx, 20*time.Millisecond)
+		clock.Sleep(ctx, 20*time.Millisecond)
 	}
 }
 
@@ -255,13 +256,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // Run runs the host until ctx ends, then drains and stops it.
 func (h *Host) Run(ctx context.Context) error {
 	err := h.Kernel.Run(ctx)
--- a/internal/traffic/entry/session__run.go
+++ b/internal/traffic/entry/session__run.go
@@ -6,6 +6,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/agatespindle/agatespindle/internal/base/clock"
 	"github.com/agatespindle/agatespindle/internal/base/fault"
 	"github.com/agatespindle/agatespindle/internal/base/wire"
 	"github.com/agatespindle/agatespindle/internal/control/spec"
@@ -174,7 +175,7 @@
 			return holder.Outcome{}, err
 		}
 		s.srv.Meter.Retried(e.Reason)
-		wait(ctx, pauses.Pause(try))
+		clock.Sleep(ctx, pauses.Pause(try))
 	}
 }
 
@@ -191,13 +192,6 @@
 	return false
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // try runs a batch once.
 func (s *session) try(ctx context.Context, b *wire.Batch, sink holder.Sink) (holder.Outcome, error) {
 	w := s.work
--- a/internal/traffic/holder/holder.go
+++ b/internal/traffic/holder/holder.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -211,12 +212,7 @@
 }
 
 func (h *Holder) observes(name, holder string, hosts []place.Host) bool {
-	for _, o := range place.Observers(name, holder, hosts) {
-		if o == h.Host {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(place.Observers(name, holder, hosts), h.Host)
 }
 
 func (h *Holder) watch(name, addr string) *watched {
@@ -279,22 +275,13 @@
 			if p == nil || p.doneBefore(now, run.Term) {
 				list = append(list, &wire.Released{Group: r.Name, Term: run.Term})
 			}
-		case run.Holder != h.Host && p == nil && contains(run.Prior, h.Host):
+		case run.Holder != h.Host && p == nil && slices.Contains(run.Prior, h.Host):
 			list = append(list, &wire.Released{Group: r.Name, Term: run.Term, Held: run.Held})
 		}
 	}
 	return list
 }
 
-func contains(list []string, s string) bool {
-	for _, one := range list {
-		if one == s {
-			return true
-		}
-	}
-	return false
-}
-
 // Open opens a unit of work on a group that this host holds.
 func (h *Holder) Open(now time.Time, w *wire.Work) (*Work, error) {
 	if !h.Agent.Valid(now) {
--- a/internal/traffic/holder/pool.go
+++ b/internal/traffic/holder/pool.go
@@ -24,6 +24,8 @@
 	followInterval = 200 * time.Millisecond
 	// admitInterval is the time between two requests to admit a new disk.
 	admitInterval = 500 * time.Millisecond
+	// backgroundLimit bounds a call to a backend server or to control that nobody waits for.
+	backgroundLimit = time.Second
 )
 
 // pool is a group's connections, queues and positions on its holder.
@@ -152,11 +154,7 @@
 	}
 	s.settling = true
 	held, term := p.run.Held, p.run.Term
-	p.h.wg.Add(1)
-	go func() {
-		defer p.h.wg.Done()
-		ctx, cancel := context.WithTimeout(p.ctx, time.Second)
-		defer cancel()
+	p.background(func(ctx context.Context) {
 		st, err := s.adapter.Status(ctx)
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -167,7 +165,7 @@
 		p.raise(token.Mark{Term: term, Position: st.Position})
 		p.settled = held
 		p.notify()
-	}()
+	})
 }
 
 // follow orders servers that do not follow the primary of the open term to do so.
@@ -186,15 +184,11 @@
 			continue
 		}
 		s.ordered = now
-		p.h.wg.Add(1)
-		go func() {
-			defer p.h.wg.Done()
-			ctx, cancel := context.WithTimeout(p.ctx, time.Second)
-			defer cancel()
+		p.background(func(ctx context.Context) {
 			if _, err := s.adapter.Follow(ctx, f); err != nil {
 				p.h.Log.WithError(err).WithField("instance", s.name).Debug("order to follow failed")
 			}
-		}()
+		})
 	}
 }
 
@@ -231,14 +225,21 @@
 
 // propose sends a command to control in the background.
 func (p *pool) propose(cmd *wire.Command) {
+	p.background(func(ctx context.Context) {
+		if _, err := p.h.Agent.Call(ctx, &wire.Call{Method: leader.Change, Command: cmd}); err != nil {
+			p.h.Log.WithError(err).WithField("group", p.group).Debug("command not recorded")
+		}
+	})
+}
+
+// background runs fn beside the pool, within backgroundLimit and no longer than the pool.
+func (p *pool) background(fn func(ctx context.Context)) {
 	p.h.wg.Add(1)
 	go func() {
 		defer p.h.wg.Done()
-		ctx, cancel := context.WithTimeout(p.ctx, time.Second)
+		ctx, cancel := context.WithTimeout(p.ctx, backgroundLimit)
 		defer cancel()
-		if _, err := p.h.Agent.Call(ctx, &wire.Call{Method: leader.Change, Command: cmd}); err != nil {
-			p.h.Log.WithError(err).WithField("group", p.group).Debug("command not recorded")
-		}
+		fn(ctx)
 	}()
 }
 
--- a/internal/traffic/holder/work.go
+++ b/internal/traffic/holder/work.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/agatespindle/agatespindle/internal/base/clock"
 	"github.com/agatespindle/agatespindle/internal/base/fault"
 	"github.com/agatespindle/agatespindle/internal/base/wire"
 	"github.com/agatespindle/agatespindle/internal/control/spec"
@@ -158,7 +159,7 @@
 			read = false
 			continue
 		}
-		pause(ctx, retryPause)
+		clock.Sleep(ctx, retryPause)
 	}
 }
 
@@ -172,13 +173,6 @@
 	return false
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // pinned runs a batch on the connection of the open transaction.
 func (w *Work) pinned(ctx context.Context, b *wire.Batch, sink Sink) (Outcome, error) {
 	p := w.pool
--- a/internal/traffic/holder/work__end.go
+++ b/internal/traffic/holder/work__end.go
@@ -20,16 +20,13 @@
 // replica leave no effect, and neither does a transaction whose commit was not sent.
 func (w *Work) lost(b *wire.Batch, a *reply, err error) error {
 	v := fault.MayHaveRun
-	harmless := !w.primary || (w.inTransaction(a) && !b.Commits)
+	harmless := !w.primary || (a.within && !b.Commits)
 	if harmless && !a.passed {
 		v = fault.NotRun
 	}
 	return fault.New(v, fault.ConnectionLost, "connection to the backend server was lost").WithCause(err)
 }
 
-// inTransaction reports whether the batch was sent into an open transaction.
-func (w *Work) inTransaction(a *reply) bool { return a.within }
-
 // refused turns a server's word that it takes no writes into an error to try again, where the
 // batch was not inside a transaction and nothing was passed on.
 func (w *Work) refused(ctx context.Context, a *reply) error {
@@ -109,5 +106,5 @@
 	return w.pool.replicated(ctx, token.Mark{Term: st.Term, Position: st.Position})
 }
 
-// errorCode is the SQLSTATE of a write on a server that takes none.
+// codeReadOnly is the SQLSTATE of a write on a server that takes none.
 const codeReadOnly = "25006"
