quorum: Let the former leader ask for votes at once after a restart

Lines about each vote showed two reasons. Votes were lost: an agent that was told that nobody leads dropped the whole session to that host, and with it the stream of the quorum, whose next message was then dropped. And a restarted voter refuses votes for a whole election timeout, as it may have confirmed a heartbeat, so that the third host to start held up everybody.

Change: a lease stream that was answered keeps its session; a message that finds its session closed is sent over a new one; the first entry of a term names its leader, which asks for votes at once when it restarts, and voters need not wait for a lease that the candidate itself held. All others wait as before.

Ruled out: shorter election timeouts (they touch every stall of a disk); remembering on disk when a heartbeat was confirmed (a sync a heartbeat).

--- a/internal/control/agent/agent.go
+++ b/internal/control/agent/agent.go
@@ -214,13 +214,22 @@
 	failed := make(chan error, 1)
 	go func() { failed <- a.receive(c) }()
 	err = a.send(ctx, c, failed)
-	if !errors.Is(err, errRedirect) && ctx.Err() == nil {
+	if errors.Is(err, errRedirect) || ctx.Err() != nil {
+		return err
+	}
+	if !answered(err) {
 		a.Dialer.Drop(addr)
-		a.fail()
 	}
+	a.fail()
 	return err
 }
 
+// answered reports whether a stream ended by what the control host said: its connection is in
+// order, and others use it too.
+func answered(err error) bool {
+	return errors.Is(err, errRedirect) || errors.Is(err, errReplaced) || errors.Is(err, errGap)
+}
+
 func (a *Agent) silence() time.Duration {
 	if a.Silence > 0 {
 		return a.Silence
--- /dev/null
+++ b/internal/control/agent/agent_test.go
@@ -0,0 +1,87 @@
+package agent_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/agatespindle/agatespindle/internal/base/clock"
+	"github.com/agatespindle/agatespindle/internal/base/conf"
+	"github.com/agatespindle/agatespindle/internal/base/fault"
+	"github.com/agatespindle/agatespindle/internal/base/link"
+	"github.com/agatespindle/agatespindle/internal/base/logs"
+	"github.com/agatespindle/agatespindle/internal/base/meter"
+	"github.com/agatespindle/agatespindle/internal/base/wire"
+	"github.com/agatespindle/agatespindle/internal/control/agent"
+	"github.com/agatespindle/agatespindle/internal/control/leader"
+)
+
+// counted counts the connections that are accepted.
+type counted struct {
+	net.Listener
+	n atomic.Int64
+}
+
+func (c *counted) Accept() (net.Conn, error) {
+	conn, err := c.Listener.Accept()
+	if err == nil {
+		c.n.Add(1)
+	}
+	return conn, err
+}
+
+// askLeases runs an agent before one control host whose lease streams are served by serve. It
+// returns the number of connections and of streams once want streams were opened.
+func askLeases(t *testing.T, want int64, silence time.Duration, serve func(c *link.Conn)) (conns, streams int64) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	count := &counted{Listener: ln}
+	ctx, cancel := context.WithCancel(t.Context())
+	opened := make(chan struct{}, 64)
+	handler := func(_ context.Context, _ string, c *link.Conn) {
+		opened <- struct{}{}
+		serve(c)
+	}
+	served := (&link.Server{Listener: count, Handlers: map[string]link.Handler{leader.LeaseService: handler}}).Run(ctx)
+	a := &agent.Agent{
+		Host: "h", Record: &wire.HostRun{}, Peers: []conf.Peer{{Link: ln.Addr().String()}}, Renew: 20 * time.Millisecond, Silence: silence,
+		Dialer: &link.Dialer{Host: "h"}, Log: logs.Discard(), Meter: meter.New(), Now: clock.Boot,
+	}
+	a.Prepare()
+	done := a.Run(ctx)
+	for range want {
+		<-opened
+	}
+	conns = count.n.Load()
+	cancel()
+	So(<-done, ShouldBeNil)
+	a.Dialer.Close()
+	So(<-served, ShouldBeNil)
+	return conns, want
+}
+
+// TestAnswersKeepTheSession: control hosts use the same session for their votes, and during an
+// election all of them say that nobody leads.
+func TestAnswersKeepTheSession(t *testing.T) {
+	Convey("A control host that answers that nobody leads keeps its session", t, func() {
+		conns, _ := askLeases(t, 5, time.Second, func(c *link.Conn) {
+			r := &wire.Renew{}
+			if c.Recv(r) == nil {
+				_ = c.Send(&wire.Grant{Reason: string(fault.NoLeader)})
+				_ = c.Recv(r)
+			}
+		})
+		So(conns, ShouldEqual, 1)
+	})
+	Convey("One that brings nothing loses it, since the connection may be dead", t, func() {
+		conns, streams := askLeases(t, 3, 60*time.Millisecond, func(c *link.Conn) {
+			for c.Recv(&wire.Renew{}) == nil {
+			}
+		})
+		So(conns, ShouldEqual, streams)
+	})
+}
--- a/internal/control/driver/sender.go
+++ b/internal/control/driver/sender.go
@@ -84,23 +84,36 @@
 	}
 }
 
-// deliver sends a message and returns the stream for the next one, or nil.
+// deliver sends a message and returns the stream for the next one, or nil. The session of a
+// kept stream may have been closed by other users of it; then a new one carries the message.
 func (d *Driver) deliver(ctx context.Context, s *sender, c *link.Conn, m *wire.Message) *link.Conn {
-	if c == nil {
-		var err error
-		if c, err = d.Dialer.Open(ctx, s.addr, Service); err != nil {
-			clock.Sleep(ctx, redialPause)
-			return nil
-		}
+	if c != nil && put(c, m) {
+		return c
 	}
-	c.SetDeadline(time.Now().Add(sendLimit))
-	if err := c.Send(m); err != nil {
-		c.Close()
+	c, err := d.Dialer.Open(ctx, s.addr, Service)
+	if err != nil {
+		clock.Sleep(ctx, redialPause)
+		return nil
+	}
+	if !put(c, m) {
+		d.Meter.Add("log.unsent", 1)
 		return nil
 	}
 	return c
 }
 
+// put sends a message, or closes the stream.
+func put(c *link.Conn, m *wire.Message) bool {
+	err := c.SetDeadline(time.Now().Add(sendLimit))
+	if err == nil {
+		err = c.Send(m)
+	}
+	if err != nil {
+		c.Close()
+	}
+	return err == nil
+}
+
 // Serve takes messages of another control host from a stream; it is a link.Handler.
 func (d *Driver) Serve(ctx context.Context, _ string, c *link.Conn) {
 	for ctx.Err() == nil {
--- a/internal/control/quorum/core.go
+++ b/internal/control/quorum/core.go
@@ -67,7 +67,13 @@
 	votes   map[string]bool
 	pre     bool
 
-	heard    time.Time
+	heard time.Time
+	// lessor is the leader that the moment in heard concerns: the one that may hold a lease by
+	// this host's word. It is "" where a restart has left it unknown.
+	lessor string
+	// former is set after a restart of the leader of the latest term, until another host is
+	// followed.
+	former   bool
 	deadline time.Time
 	beat     time.Time
 	elected  time.Time
@@ -100,10 +106,13 @@
 }
 
 // New returns a core that continues from r. It starts as a follower without a leader and
-// waits a whole election timeout, since it may have confirmed a heartbeat just before.
+// waits a whole election timeout, since it may have confirmed a heartbeat just before. The
+// leader of the latest term itself asks for votes at once: its lease ended with its process.
 func New(now time.Time, opt Options, r Restored) *Core {
 	c := &Core{opt: opt, term: r.Term, vote: r.Vote, log: newTail(r.Snapshot, r.Entries), commit: r.Snapshot.Index}
 	c.heard = now
+	c.lessor = c.log.leaderOf(r.Term)
+	c.former = c.lessor == opt.ID
 	c.resetDeadline(now)
 	c.readMembers()
 	return c
@@ -146,6 +155,10 @@
 }
 
 func (c *Core) resetDeadline(now time.Time) {
+	if c.former {
+		c.deadline = now.Add(c.opt.Beat)
+		return
+	}
 	c.deadline = now.Add(c.opt.Election + c.opt.Jitter(c.opt.Election))
 }
 
--- a/internal/control/quorum/core__append.go
+++ b/internal/control/quorum/core__append.go
@@ -188,6 +188,7 @@
 		c.follow(now, m.Term, m.From)
 	}
 	c.heard = now
+	c.lessor = m.From
 	c.resetDeadline(now)
 }
 
--- a/internal/control/quorum/core__elect.go
+++ b/internal/control/quorum/core__elect.go
@@ -98,6 +98,7 @@
 func (c *Core) lead(now time.Time) {
 	c.role = Leader
 	c.leader = c.opt.ID
+	c.former = false
 	c.elected = now
 	c.handover = ""
 	c.peers = map[string]*peer{}
@@ -105,7 +106,7 @@
 	c.seq = 0
 	c.reads = nil
 	c.matchPeers()
-	c.appendOwn([]*wire.Entry{{Kind: wire.EntryKind_BARRIER}})
+	c.appendOwn([]*wire.Entry{{Kind: wire.EntryKind_BARRIER, Data: []byte(c.opt.ID)}})
 	c.round(now)
 }
 
@@ -119,6 +120,7 @@
 	}
 	c.role = Follower
 	c.leader = leader
+	c.former = false
 	c.peers = nil
 	c.resetDeadline(now)
 }
@@ -163,10 +165,11 @@
 	}
 }
 
-// answerVote grants a vote to a candidate whose log is as up to date as this one, unless a
-// leader was heard within an election timeout: leases rest on that refusal.
+// answerVote grants a vote to a candidate whose log is as up to date as this one, unless
+// another leader was heard within an election timeout: leases rest on that refusal. A leader
+// that asks for votes has given up its lease itself.
 func (c *Core) answerVote(now time.Time, m *wire.Message) {
-	leased := (c.role == Leader && !c.lostQuorum(now)) || now.Sub(c.heard) < c.opt.Election
+	leased := (c.role == Leader && !c.lostQuorum(now)) || (now.Sub(c.heard) < c.opt.Election && m.From != c.lessor)
 	if leased && !m.Force {
 		return
 	}
--- a/internal/control/quorum/core_test.go
+++ b/internal/control/quorum/core_test.go
@@ -48,6 +48,15 @@
 					f.start(id)
 				}
 			},
+			"blackout": func(t *rapid.T) {
+				for _, id := range f.ids {
+					f.crash(id)
+				}
+				f.flight = nil
+				for _, id := range f.ids {
+					f.start(id)
+				}
+			},
 			"cut":      func(t *rapid.T) { f.cut[host.Draw(t, "host")] = true },
 			"heal":     func(t *rapid.T) { f.cut = map[string]bool{} },
 			"compact":  func(t *rapid.T) { f.compact(host.Draw(t, "host")) },
@@ -119,6 +128,31 @@
 			So(f.leader(), ShouldEqual, first)
 			So(f.nodes[first].core.Term(), ShouldEqual, term)
 		})
+		Convey("After a restart of all hosts the former leader leads again within an election timeout", func() {
+			for _, id := range f.ids {
+				f.crash(id)
+			}
+			f.flight = nil
+			for _, id := range f.ids {
+				f.start(id)
+			}
+			f.calm(election - beat)
+			So(f.leader(), ShouldEqual, first)
+			So(f.faults, ShouldBeEmpty)
+		})
+		Convey("A leader that restarts while others hold its lease leads again at once", func() {
+			f.crash(first)
+			f.tick(beat)
+			f.start(first)
+			f.calm(3 * beat)
+			So(f.leader(), ShouldEqual, first)
+			So(f.faults, ShouldBeEmpty)
+		})
+		Convey("Another host waits for the lease of a leader that is gone", func() {
+			f.crash(first)
+			f.calm(election - beat)
+			So(f.leader(), ShouldBeEmpty)
+		})
 		Convey("Handover moves the lead at once", func() {
 			f.step(first, quorum.Handover{})
 			f.calm(200 * time.Millisecond)
@@ -198,3 +232,28 @@
 	}
 	return out
 }
+
+// TestRestartedVoterWaitsForTheLease checks whom a host votes for that may have confirmed a
+// heartbeat just before it restarted.
+func TestRestartedVoterWaitsForTheLease(t *testing.T) {
+	Convey("Given a voter that restarts in a term that n0 has led", t, func() {
+		now := time.Unix(1000, 0)
+		members := &wire.Members{Members: []*wire.Member{{Id: "n0"}, {Id: "n1"}, {Id: "n2"}}}
+		core := quorum.New(now, quorum.Options{ID: "n1", Election: election, Beat: beat, Jitter: seeded(1)}, quorum.Restored{
+			Term: 3, Vote: "n0", Snapshot: quorum.Snapshot{Members: members},
+			Entries: []*wire.Entry{{Index: 1, Term: 3, Kind: wire.EntryKind_BARRIER, Data: []byte("n0")}},
+		})
+		votes := func(at time.Time, from string) bool {
+			m := &wire.Message{Kind: wire.MessageKind_PREVOTE, From: from, To: "n1", Term: 4, Index: 1, Logterm: 3}
+			for _, a := range core.Step(at, quorum.Received{Message: m}) {
+				if s, ok := a.(quorum.Send); ok && s.Message.Kind == wire.MessageKind_PREVOTED {
+					return !s.Message.Reject
+				}
+			}
+			return false
+		}
+		So(votes(now.Add(election-1), "n2"), ShouldBeFalse)
+		So(votes(now, "n0"), ShouldBeTrue)
+		So(votes(now.Add(election), "n2"), ShouldBeTrue)
+	})
+}
--- a/internal/control/quorum/tail.go
+++ b/internal/control/quorum/tail.go
@@ -94,3 +94,14 @@
 	}
 	return t.snap.Members, t.snap.Index
 }
+
+// leaderOf returns the identity of the leader of the log's last term, if that is term and its
+// first entry stands in the tail, else "".
+func (t tail) leaderOf(term uint64) string {
+	for i := len(t.entries) - 1; i >= 0 && t.entries[i].Term == term; i-- {
+		if t.entries[i].Kind == wire.EntryKind_BARRIER {
+			return string(t.entries[i].Data)
+		}
+	}
+	return ""
+}
