traffic: Borrow a connection while an instance has no room for this host

Instances keep the connections of lost hosts for 3 s, mostly those of open transactions at primaries, so that some of the hosts that come back get none, while others have one to spare. Besides, votes waited behind a dial of 300 ms to a host that was still down.

Change: a host that has no connection to an instance which accepts no more asks up to three other hosts for one, the one that helped last first. Lent and borrowed use are one type now (errand), which goes on to the next host as long as nothing was sent to the instance; its load and latency count on the borrowing host too. Streams whose connection has ended are not used again. The quorum's dials end after 120 ms.

Ruled out: keeping room free at each instance at all times (transactions need it); waiting until room comes (what can't be served is refused at once).

--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -42,6 +42,7 @@
 	NoHolder        Reason = "noholder"
 	NoPrimary       Reason = "noprimary"
 	NoBackend       Reason = "nobackend"
+	NoRoom          Reason = "noroom"
 	NotHolder       Reason = "notholder"
 	Sealed          Reason = "sealed"
 	Deadline        Reason = "deadline"
--- a/internal/base/link/link.go
+++ b/internal/base/link/link.go
@@ -89,6 +89,12 @@
 // SetDeadline bounds all later calls.
 func (c *Conn) SetDeadline(t time.Time) error { return c.raw.SetDeadline(t) }
 
+// Ended reports whether the connection below the stream is known to have ended.
+func (c *Conn) Ended() bool {
+	s, ok := c.raw.(*yamux.Stream)
+	return ok && s.Session().IsClosed()
+}
+
 // Close ends the stream.
 func (c *Conn) Close() error { return c.raw.Close() }
 
--- a/internal/control/driver/sender.go
+++ b/internal/control/driver/sender.go
@@ -16,6 +16,9 @@
 	queueSize   = 256
 	redialPause = 50 * time.Millisecond
 	sendLimit   = 2 * time.Second
+	// dialLimit bounds the opening of a connection to a control host, three round trips between
+	// regions. One that is starting up answers the next try; votes must not wait behind this one.
+	dialLimit = 120 * time.Millisecond
 )
 
 // sender passes messages to one control host; what does not fit its queue is lost.
@@ -90,7 +93,9 @@
 	if c != nil && put(c, m) {
 		return c
 	}
-	c, err := d.Dialer.Open(ctx, s.addr, Service)
+	dial, cancel := context.WithTimeout(ctx, dialLimit)
+	defer cancel()
+	c, err := d.Dialer.Open(dial, s.addr, Service)
 	if err != nil {
 		clock.Sleep(ctx, redialPause)
 		return nil
--- a/internal/tools/node/path_integration_test.go
+++ b/internal/tools/node/path_integration_test.go
@@ -1,7 +1,9 @@
 package node_test
 
 import (
+	"bufio"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -280,6 +282,65 @@
 	})
 }
 
+// TestHostWithoutConnectionsServesOverAnother plays the end of scale-2 (bmpp-pool): connections
+// of hosts that lost their power stay at the instances for 3 s and leave no room for those that
+// come back first.
+func TestHostWithoutConnectionsServesOverAnother(t *testing.T) {
+	Convey("Given a host that starts while an instance accepts no more connections", t, func() {
+		c := start(t, 3, 2, false)
+		c.serve(2)
+		So(c.stop("edge-1"), ShouldBeNil)
+		var ghosts []net.Conn
+		defer func() {
+			for _, g := range ghosts {
+				g.Close()
+			}
+		}()
+		for i := range 3 {
+			ghosts = append(ghosts, occupy(fmt.Sprintf("%s%d:8069", c.prefix, 100+i), "ledger")...)
+		}
+		c.boot("edge-1", c.ip(51), false, false)
+		Convey("It serves writes, transactions and reads over the connections of another host", func() {
+			var s *caller
+			c.eventually("a session", func() bool {
+				var err error
+				s, err = dial(c.front(1), "orders")
+				return err == nil
+			})
+			defer s.Close()
+			c.eventually("the lease", func() bool { return s.ask("READ warm").ok() })
+			served := 0
+			for i := range 50 {
+				ok := s.ask(fmt.Sprintf("WRITE g%d 1", i)).ok() && s.ask("BEGIN").ok()
+				ok = s.ask(fmt.Sprintf("READ g%d", i)).ok() && ok
+				if s.ask("COMMIT").ok() && ok {
+					served++
+				}
+			}
+			So(served, ShouldBeGreaterThanOrEqualTo, 48)
+		})
+	})
+}
+
+// occupy opens connections to an instance until it accepts no more.
+func occupy(addr, group string) []net.Conn {
+	var list []net.Conn
+	for range 64 {
+		conn, err := net.Dial("tcp", addr)
+		if err != nil {
+			return list
+		}
+		fmt.Fprintf(conn, "STARTUP %s ghost\r\n", group)
+		line, _ := bufio.NewReader(conn).ReadString('\n')
+		if !strings.HasPrefix(line, "READY") {
+			conn.Close()
+			return list
+		}
+		list = append(list, conn)
+	}
+	return list
+}
+
 // TestHostCutFromControlServesOverAnother plays node_cut of the platform's days: the host
 // reaches other entry hosts and the instances, and no control host.
 func TestHostCutFromControlServesOverAnother(t *testing.T) {
--- a/internal/traffic/desk/desk.go
+++ b/internal/traffic/desk/desk.go
@@ -103,6 +103,8 @@
 	lenders []string
 	// strong is set where the first lender is to be asked before the others.
 	strong bool
+	// others are the hosts that may help out while the instance has no room for this one.
+	others []string
 	// center and room are the instance's data centre and the connections that it accepts.
 	center string
 	room   int
@@ -118,6 +120,8 @@
 	deposed atomic.Int64
 	// unlent is until when no other host could reach the instance.
 	unlent atomic.Int64
+	// helper is the host that lent a connection last.
+	helper atomic.Pointer[string]
 	addr   string
 	born   int64
 }
--- a/internal/traffic/desk/lend.go
+++ b/internal/traffic/desk/lend.go
@@ -54,7 +54,15 @@
 			}
 		}
 	}
-	if len(spots) == 0 || d.Borrow == nil {
+	if d.Borrow == nil {
+		return
+	}
+	for _, g := range p.Groups {
+		for _, m := range g.Members {
+			m.others = d.others(hosts)
+		}
+	}
+	if len(spots) == 0 {
 		return
 	}
 	chosen := place.Lenders(spots, hosts)
@@ -67,6 +75,17 @@
 	}
 }
 
+// others returns the addresses of the other hosts that hold connections for themselves.
+func (d *Desk) others(hosts []place.Peer) []string {
+	var list []string
+	for _, h := range hosts {
+		if h.Name != d.Host && !h.Strong {
+			list = append(list, h.Link)
+		}
+	}
+	return list
+}
+
 // share makes this host hold its part of the connections to an instance, or borrow. A strong
 // lender has half of them.
 func (d *Desk) share(m *Member, lenders []place.Peer) {
@@ -108,19 +127,16 @@
 	return c, nil
 }
 
-// Open opens the use of a connection to the instance, of this host or of a lender.
+// Open opens the use of a connection to the instance, of this host or of another one.
 func (m *Member) Open(ctx context.Context, patience time.Duration, rank int) (pool.Unit, error) {
-	if len(m.lenders) == 0 {
-		return m.Own(ctx, patience, rank)
+	if len(m.lenders) > 0 {
+		return m.errand(m.order(), patience, rank), nil
 	}
-	for _, addr := range m.order() {
-		u, err := m.desk.Borrow(addr, m.Group, m.Instance, rank, patience)
-		if err == nil {
-			return u, nil
-		}
+	u, err := m.Own(ctx, patience, rank)
+	if err == nil || fault.Of(err).Reason != fault.NoRoom || len(m.others) == 0 {
+		return u, err
 	}
-	m.Unlent(m.desk.Now())
-	return nil, fault.New(fault.NotRun, fault.NoHolder, "no host that holds connections to instance %s answers", m.Instance)
+	return m.errand(m.helpers(), patience, rank), nil
 }
 
 // order returns the lenders in the order in which they are asked: a strong one first, the
@@ -131,10 +147,31 @@
 	if m.strong {
 		rest = list[1:]
 	}
-	rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+	shuffle(rest)
 	return list
 }
 
+// maxHelpers is the number of hosts that are asked for a connection that this host should have
+// itself; about half of them have one when connections run short.
+const maxHelpers = 3
+
+// helpers returns the hosts that are asked while the instance has no room for this one: the
+// one that helped last comes first.
+func (m *Member) helpers() []string {
+	list := slices.Clone(m.others)
+	shuffle(list)
+	if last := m.shared.helper.Load(); last != nil {
+		if i := slices.Index(list, *last); i > 0 {
+			list[0], list[i] = list[i], list[0]
+		}
+	}
+	return list[:min(len(list), maxHelpers)]
+}
+
+func shuffle(list []string) {
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+}
+
 // Unlent takes note that no lender reaches the instance.
 func (m *Member) Unlent(now time.Time) { m.shared.unlent.Store(now.Add(unlentFor).UnixNano()) }
 
--- a/internal/traffic/lend/lend.go
+++ b/internal/traffic/lend/lend.go
@@ -195,16 +195,19 @@
 	delete(b.streams, addr)
 }
 
+// kept returns an idle stream to a host, or nil.
 func (b *Borrower) kept(addr string) *link.Conn {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	list := b.streams[addr]
-	if len(list) == 0 {
-		return nil
+	for list := b.streams[addr]; len(list) > 0; list = b.streams[addr] {
+		c := list[len(list)-1]
+		b.streams[addr] = list[:len(list)-1]
+		if !c.Ended() {
+			return c
+		}
+		c.Close()
 	}
-	c := list[len(list)-1]
-	b.streams[addr] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 func (b *Borrower) keep(addr string, c *link.Conn) {
--- a/internal/traffic/pool/pool.go
+++ b/internal/traffic/pool/pool.go
@@ -161,12 +161,21 @@
 	s.pending--
 }
 
-func (s *Server) served(took time.Duration) {
+// Took takes note of the time that an answer took, over a connection of this host or of
+// another one.
+func (s *Server) Took(d time.Duration) {
 	old := s.latency.Load()
 	if old == 0 {
-		old = int64(took)
+		old = int64(d)
 	}
-	s.latency.Store(old + (int64(took)-old)/smoothing)
+	s.latency.Store(old + (int64(d)-old)/smoothing)
+}
+
+// Use adds n to the load that this host has at the instance.
+func (s *Server) Use(n int) { s.load.Add(int64(n)) }
+
+func (s *Server) served(took time.Duration) {
+	s.Took(took)
 	now := s.Now()
 	s.mu.Lock()
 	s.well = now
@@ -189,6 +198,10 @@
 		s.mu.Unlock()
 		return nil, s.unreachable()
 	}
+	if s.open == 0 && now.Before(s.full) {
+		s.mu.Unlock()
+		return nil, s.noRoom()
+	}
 	w := &waiter{rank: rank, got: make(chan result, 1)}
 	s.enqueue(w)
 	s.extend(now)
@@ -200,6 +213,10 @@
 	return fault.New(fault.NotRun, fault.NoBackend, "instance %s cannot be reached", s.Instance)
 }
 
+func (s *Server) noRoom() *fault.Error {
+	return fault.New(fault.NotRun, fault.NoRoom, "instance %s accepts no more connections", s.Instance)
+}
+
 func (s *Server) await(ctx context.Context, limit time.Duration, w *waiter) (*Conn, error) {
 	t := time.NewTimer(limit)
 	defer t.Stop()
--- a/internal/traffic/pool/pool__dial.go
+++ b/internal/traffic/pool/pool__dial.go
@@ -97,7 +97,7 @@
 		s.reached(now)
 		s.full = now.Add(fullPause)
 		if s.open == 0 {
-			s.release(fault.New(fault.NotRun, fault.NoBackend, "instance %s accepts no more connections", s.Instance))
+			s.release(s.noRoom())
 		}
 		return
 	}
