desk: Ask the primary for its position instead of sending it reads

Change: such a host opens and ends a reading transaction there, which reports the position and takes no slot, and then reads at a replica. A position that has aged by a third of what the read allows is renewed without waiting. The stand-in has slots, a queue and working time now, and lets a transaction that wrote nothing commit anywhere.

Test: TestReadsLeaveThePrimaryAlone, 3 reads at the primary without the change.

--- a/internal/backend/mimic/group.go
+++ b/internal/backend/mimic/group.go
@@ -40,6 +40,12 @@
 	Rise time.Duration
 	// MaxConns is the number of connections that an instance accepts.
 	MaxConns int
+	// Slots is the number of statements that an instance runs at once, and Queue the number of
+	// those that wait; others are refused. Without Slots there is no bound.
+	Slots int
+	Queue int
+	// Work is how long a statement holds its slot.
+	Work time.Duration
 
 	mu        sync.Mutex
 	term      uint64
--- a/internal/backend/mimic/instance.go
+++ b/internal/backend/mimic/instance.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -28,6 +29,12 @@
 	lost  int
 	conns map[net.Conn]bool
 	wg    sync.WaitGroup
+	// slots bounds what runs at once; it is nil where there is no bound. busy counts what runs
+	// or waits, ran and refused what did and what found no place.
+	slots   chan struct{}
+	busy    atomic.Int64
+	ran     atomic.Int64
+	refused atomic.Int64
 }
 
 // Start adds an instance to a group and serves at addr. The first one leads.
@@ -37,6 +44,9 @@
 		return nil, err
 	}
 	in := &Instance{Name: name, Addr: ln.Addr().String(), Zone: zone, group: g, ln: ln, born: time.Now().UnixMilli(), term: 1, conns: map[net.Conn]bool{}}
+	if g.Slots > 0 {
+		in.slots = make(chan struct{}, g.Slots)
+	}
 	g.mu.Lock()
 	if g.instances == nil {
 		g.instances = map[string]*Instance{}
@@ -178,8 +188,39 @@
 	p.say("READY %s %s", state, at)
 }
 
+// takesSlot reports whether a statement occupies a slot.
+func takesSlot(text string) bool {
+	if rest, ok := strings.CutPrefix(text, "AFTER "); ok {
+		_, text, _ = strings.Cut(rest, " ")
+	}
+	word, _, _ := strings.Cut(text, " ")
+	return word == "READ" || word == "WRITE" || word == "EXEC" || word == "COMMIT" || word == "STAT"
+}
+
 // query answers one query. It reports false where the connection ends without an answer.
 func (p *peer) query(id, text string) bool {
+	if !takesSlot(text) || p.in.slots == nil {
+		return p.run(id, text)
+	}
+	if p.in.busy.Add(1) > int64(p.in.group.Slots+p.in.group.Queue) {
+		p.in.busy.Add(-1)
+		p.in.refused.Add(1)
+		p.in.group.mu.Lock()
+		defer p.in.group.mu.Unlock()
+		return p.fail("BUSY")
+	}
+	defer p.in.busy.Add(-1)
+	p.in.slots <- struct{}{}
+	defer func() { <-p.in.slots }()
+	time.Sleep(p.in.group.Work)
+	p.in.ran.Add(1)
+	return p.run(id, text)
+}
+
+// Load returns the number of statements that took a slot so far, and of those that found none.
+func (in *Instance) Load() (ran, refused int64) { return in.ran.Load(), in.refused.Load() }
+
+func (p *peer) run(id, text string) bool {
 	g := p.in.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -310,6 +351,10 @@
 	if !p.open || p.broken {
 		return p.fail("MALFORMED")
 	}
+	if len(p.writes) == 0 {
+		p.end()
+		return p.done()
+	}
 	for i := range p.writes {
 		p.writes[i].id += "/" + id
 	}
--- a/internal/base/clock/clock.go
+++ b/internal/base/clock/clock.go
@@ -13,3 +13,11 @@
 	case <-time.After(d):
 	}
 }
+
+// Await waits until done is closed, or until ctx ends.
+func Await(ctx context.Context, done <-chan struct{}) {
+	select {
+	case <-ctx.Done():
+	case <-done:
+	}
+}
--- a/internal/tools/node/node_integration_test.go
+++ b/internal/tools/node/node_integration_test.go
@@ -92,8 +92,9 @@
 // clusterSeq tells apart the addresses of the clusters of one test process.
 var clusterSeq int
 
-// start starts control and entry hosts before a group of three instances.
-func start(t *testing.T, control, entry int, silentCloud bool) *cluster {
+// start starts control and entry hosts before a group of three instances; each change is made
+// to the group before.
+func start(t *testing.T, control, entry int, silentCloud bool, changes ...func(*mimic.Group)) *cluster {
 	t.Helper()
 	clusterSeq++
 	ctx, cancel := context.WithCancel(context.Background())
@@ -103,6 +104,9 @@
 		cuts:  &cuts{cut: map[string]func(string) bool{}, conns: map[string][]net.Conn{}},
 		group: &mimic.Group{Name: "ledger", Lag: 30 * time.Millisecond, Rise: 150 * time.Millisecond, MaxConns: 16},
 	}
+	for _, change := range changes {
+		change(c.group)
+	}
 	t.Cleanup(c.close)
 	for i := range min(3, control) {
 		c.seeds = append(c.seeds, c.control(i))
--- a/internal/tools/node/path_integration_test.go
+++ b/internal/tools/node/path_integration_test.go
@@ -13,6 +13,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/agatespindle/agatespindle/internal/backend/mimic"
 	"github.com/agatespindle/agatespindle/internal/control/spec"
 )
 
@@ -282,6 +283,29 @@
 	})
 }
 
+// TestReadsLeaveThePrimaryAlone plays a host that seldom uses a group, as each of the 72 hosts of
+// dosf-spindle-grown does: its reads that may be old need no slot of the primary.
+func TestReadsLeaveThePrimaryAlone(t *testing.T) {
+	Convey("Given a host that only reads, more seldom than positions stay young enough", t, func() {
+		c := start(t, 3, 1, false, func(g *mimic.Group) { g.Slots, g.Queue, g.Work = 2, 16, 9*time.Millisecond })
+		c.serve(1)
+		s, err := dial(c.front(0), "parts")
+		So(err, ShouldBeNil)
+		defer s.Close()
+		meter := c.running["edge-0"].node.Meter
+		before := meter.Count("served.primary")
+		for range 3 {
+			time.Sleep(1700 * time.Millisecond)
+			So(s.ask("READ warm").last, ShouldStartWith, "DONE")
+			So(s.ask("BEGIN READ").ok(), ShouldBeTrue)
+			So(s.ask("READ warm").last, ShouldStartWith, "DONE")
+			So(s.ask("COMMIT").last, ShouldStartWith, "DONE")
+		}
+		So(meter.Count("served.primary")-before, ShouldEqual, 0)
+		So(meter.Count("transactions.primary"), ShouldEqual, 0)
+	})
+}
+
 // TestHostWithoutConnectionsServesOverAnother plays the end of scale-2 (bmpp-pool): connections
 // of hosts that lost their power stay at the instances for 3 s and leave no room for those that
 // come back first.
--- a/internal/traffic/desk/desk.go
+++ b/internal/traffic/desk/desk.go
@@ -67,6 +67,7 @@
 	source  *wire.Resource
 	parsed  spec.Manifest
 	named   map[string]spec.Database
+	looks   sync.WaitGroup
 }
 
 // Plan is what the host does at a revision. It is immutable.
@@ -130,6 +131,9 @@
 type book struct {
 	mu     sync.Mutex
 	sights route.Sights
+	// looking is closed at the end of the question for the primary's position that is on its
+	// way; it is nil while there is none.
+	looking chan struct{}
 }
 
 // Prepare makes the desk ready; Run must follow.
@@ -176,6 +180,7 @@
 			}
 		}
 		d.shut()
+		d.looks.Wait()
 		done <- nil
 	}()
 	return done
--- a/internal/traffic/flow/flow.go
+++ b/internal/traffic/flow/flow.go
@@ -157,6 +157,8 @@
 	// Hold stops a replica from receiving; Release lets it go on.
 	Hold
 	Release
+	// Look asks for the position alone and takes no slot.
+	Look
 )
 
 // Request is one request to a backend server.
--- a/internal/traffic/pool/conn.go
+++ b/internal/traffic/pool/conn.go
@@ -145,6 +145,9 @@
 
 // Run implements Unit. What is set or prepared beforehand takes no slot.
 func (c *Conn) Run(limit time.Duration, values flow.Values, q flow.Request, _ bool) (flow.Answer, flow.Stage, error) {
+	if q.Op == flow.Look {
+		return c.ask(limit, flow.Request{Op: flow.OpenRead}, flow.Request{Op: flow.Undo})
+	}
 	if q.Op != flow.Undo {
 		if err := c.dress(min(limit, setupLimit), values); err != nil {
 			return flow.Answer{}, flow.Unsent, err
--- a/internal/traffic/pool/pool.go
+++ b/internal/traffic/pool/pool.go
@@ -86,6 +86,9 @@
 	silent  time.Time
 }
 
+// Urgent is the lowest rank: it goes before all callers.
+const Urgent = -1
+
 // waiter waits for a connection.
 type waiter struct {
 	rank int
--- a/internal/traffic/sess/inside.go
+++ b/internal/traffic/sess/inside.go
@@ -74,7 +74,7 @@
 	tx := s.tx
 	a := &attempt{s: s, db: tx.db, began: s.b.Now(), id: st.ID, guarded: !tx.read, last: flow.Verdict{Code: flow.Busy}}
 	for a.next(ctx) {
-		m, ok := a.place(s.b.Now(), tx.read)
+		m, ok := a.place(ctx, s.b.Now(), tx.read)
 		if !ok && a.awaits(ctx) {
 			continue
 		}
--- a/internal/traffic/sess/sess.go
+++ b/internal/traffic/sess/sess.go
@@ -29,6 +29,8 @@
 	setupLimit = 400 * time.Millisecond
 	// leastWait is the least time that a statement may wait for a connection.
 	leastWait = 100 * time.Millisecond
+	// renewShare is the part of the age that a read allows after which a position is renewed.
+	renewShare = 3
 )
 
 // Broker is what the sessions of a host share. The exported fields are set before the first
--- a/internal/traffic/sess/single.go
+++ b/internal/traffic/sess/single.go
@@ -39,7 +39,7 @@
 	}
 	a := &attempt{s: s, db: db, began: now, id: st.ID, guarded: effect == flow.Writes, last: flow.Verdict{Code: flow.Busy}}
 	for a.next(ctx) {
-		m, ok := a.place(s.b.Now(), effect == flow.Reads)
+		m, ok := a.place(ctx, s.b.Now(), effect == flow.Reads)
 		if !ok && a.awaits(ctx) {
 			continue
 		}
@@ -73,7 +73,7 @@
 }
 
 // place chooses the instance for the next try. It reports false where none can serve it now.
-func (a *attempt) place(now time.Time, reads bool) (*desk.Member, bool) {
+func (a *attempt) place(ctx context.Context, now time.Time, reads bool) (*desk.Member, bool) {
 	d := a.s.b.Desk
 	a.group = d.Plan().Groups[a.db.Group]
 	if a.group == nil {
@@ -82,7 +82,7 @@
 	}
 	a.primary, a.after = !reads || a.db.Reads == spec.AllWrites, token.Mark{}
 	if !a.primary {
-		a.after, a.primary = a.s.need(now, a.db, a.group)
+		a.after, a.primary = a.need(ctx, now)
 	}
 	if a.primary && !a.guarded && !d.Current(now, a.group) {
 		return nil, false
@@ -125,17 +125,34 @@
 	a.tried[name] = true
 }
 
-// need returns the position that a read of the database asks for. The primary is needed
-// where no position is known.
-func (s *Session) need(now time.Time, db spec.Database, g *desk.Group) (after token.Mark, primary bool) {
+// need returns the position that a read asks for. Where this host knows none that is young
+// enough it asks the primary for one, and where none comes the primary must serve the read. A
+// position that has aged by a third of what the read allows is renewed without waiting: then
+// reads go on asking for positions that replicas have had time to receive.
+func (a *attempt) need(ctx context.Context, now time.Time) (after token.Mark, primary bool) {
+	b := a.s.b
+	after, ok := a.s.position(now, a.db, a.group)
+	if !ok {
+		clock.Await(ctx, b.Desk.Look(a.group))
+		after, ok = a.s.position(b.Now(), a.db, a.group)
+		return after, !ok
+	}
+	if a.group.PositionAge(now) > a.db.Age/renewShare {
+		b.Desk.Look(a.group)
+	}
+	return after, false
+}
+
+// position returns the position that a read of the database asks for, where one is known.
+func (s *Session) position(now time.Time, db spec.Database, g *desk.Group) (token.Mark, bool) {
 	after, ok := g.Least(now, db.Age)
 	if !ok {
-		return token.Mark{}, true
+		return token.Mark{}, false
 	}
 	if own := route.Clip(s.marks.Mark(g.Name), g.Reign, g.Fork); db.Reads == spec.OwnWrites && after.Before(own) {
 		after = own
 	}
-	return after, false
+	return after, true
 }
 
 // try sends the statement to an instance. It reports false where another try is due.
