traffic: Order what many hosts send to an instance at one place

Each start of all hosts also costs an instance 0.4 s of its slots for opening connections.

Change: beyond 16 hosts a few hold the connections to an instance: a strong host of its data centre, two other strong ones for when that is down, then entry hosts. A gate there keeps one statement more under way than the instance has slots, serves urgent statements and those of open transactions first and single statements before new transactions of the same rank, and refuses at once what would be late (code crowded, a promise). Reads wait only for replicas that have not lagged for long.

Lenders are asked for a sign of life when an errand stays unanswered for 80 ms; one without is passed over until it gives one, and a host that no lender answers uses a connection of its own. A host that loses its way to the control leader goes on over the follower that names it.

--- a/internal/base/link/link.go
+++ b/internal/base/link/link.go
@@ -6,9 +6,11 @@
 	"bufio"
 	"context"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -89,6 +91,31 @@
 // SetDeadline bounds all later calls.
 func (c *Conn) SetDeadline(t time.Time) error { return c.raw.SetDeadline(t) }
 
+// errNoPing tells of a stream that is not part of a session.
+var errNoPing = errors.New("stream has no session")
+
+// Ping asks the other host's session for a sign of life; it waits no longer than limit. A host
+// that is suspended or out of reach gives none, whatever it has been asked on the stream.
+func (c *Conn) Ping(limit time.Duration) error {
+	s, ok := c.raw.(*yamux.Stream)
+	if !ok {
+		return errNoPing
+	}
+	done := make(chan error, 1)
+	go func() {
+		_, err := s.Session().Ping()
+		done <- err
+	}()
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	select {
+	case err := <-done:
+		return err
+	case <-t.C:
+		return os.ErrDeadlineExceeded
+	}
+}
+
 // Ended reports whether the connection below the stream is known to have ended.
 func (c *Conn) Ended() bool {
 	s, ok := c.raw.(*yamux.Stream)
--- a/internal/control/agent/agent.go
+++ b/internal/control/agent/agent.go
@@ -29,6 +29,11 @@
 	// streamSilence ends a lease stream that brings no answer, unless Silence says otherwise.
 	streamSilence = 1200 * time.Millisecond
 	maxHistory    = 8192
+	// firstAnswer bounds the wait for the first answer on a lease stream, many round trips.
+	firstAnswer = 250 * time.Millisecond
+	// lostLeader is how long a leader that did not answer is reached over the control host that
+	// names it.
+	lostLeader = 2 * time.Second
 )
 
 // Agent keeps a host's lease and its copy of the resources. The exported fields are set
@@ -69,6 +74,11 @@
 	attached string
 	// failures counts the streams that failed since one brought a grant.
 	failures int
+	// lost is the control host that last left a lease stream unanswered, and via the host that
+	// passes the next stream on to it, where it still leads.
+	lost   string
+	lostAt time.Time
+	via    string
 	// learned are the addresses of the control hosts by the leader's word.
 	learned []string
 	history []*wire.Resource
@@ -204,7 +214,7 @@
 	defer cancel()
 	c, err := a.Dialer.Open(ctx, addr, service)
 	if err != nil {
-		a.fail()
+		a.miss(addr, service)
 		return err
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
@@ -217,13 +227,25 @@
 	if errors.Is(err, errRedirect) || ctx.Err() != nil {
 		return err
 	}
-	if !answered(err) {
-		a.Dialer.Drop(addr)
+	if answered(err) {
+		a.fail()
+		return err
 	}
-	a.fail()
+	a.Dialer.Drop(addr)
+	a.miss(addr, service)
 	return err
 }
 
+// miss takes note of a stream that was not answered.
+func (a *Agent) miss(addr, service string) {
+	if service == leader.LeaseService {
+		a.mu.Lock()
+		a.lost, a.lostAt = addr, a.Now()
+		a.mu.Unlock()
+	}
+	a.fail()
+}
+
 // answered reports whether a stream ended by what the control host said: its connection is in
 // order, and others use it too.
 func answered(err error) bool {
@@ -245,10 +267,15 @@
 	a.failures++
 }
 
-// way returns where the next lease stream goes: to a control host, or after each second
-// failure to a host that may pass it on.
+// way returns where the next lease stream goes: to a control host, over one that has named a
+// leader out of reach, or after each second failure over any host that may pass it on.
 func (a *Agent) way() (addr, service string) {
 	a.mu.Lock()
+	if via := a.via; via != "" {
+		a.via = ""
+		a.mu.Unlock()
+		return via, RelayService
+	}
 	turn := a.failures > 0 && a.failures%2 == 0
 	a.mu.Unlock()
 	if turn && a.Relays != nil {
@@ -279,6 +306,13 @@
 	link.Splice(c, onward)
 }
 
+// Attached returns the control host that the lease stream goes to, "" over a relay.
+func (a *Agent) Attached() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.attached
+}
+
 // attach takes note of a new lease stream.
 func (a *Agent) attach(addr, service string) {
 	a.mu.Lock()
@@ -331,8 +365,8 @@
 )
 
 func (a *Agent) receive(c *link.Conn) error {
-	for {
-		c.SetDeadline(time.Now().Add(a.silence()))
+	for wait := min(firstAnswer, a.silence()); ; wait = a.silence() {
+		c.SetDeadline(time.Now().Add(wait))
 		g := &wire.Grant{}
 		if err := c.Recv(g); err != nil {
 			return err
@@ -346,11 +380,7 @@
 // take applies a message of the leader.
 func (a *Agent) take(g *wire.Grant) error {
 	if g.Reason == string(fault.NoLeader) {
-		a.setLeader(g.Leader)
-		if g.Leader == "" {
-			return errReplaced
-		}
-		return errRedirect
+		return a.redirect(g.Leader)
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -371,6 +401,21 @@
 	return nil
 }
 
+// redirect goes on to the leader that a control host names, over that host if the leader has
+// left this one without an answer a moment ago.
+func (a *Agent) redirect(to string) error {
+	a.setLeader(to)
+	if to == "" {
+		return errReplaced
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if to == a.lost && a.Now().Sub(a.lostAt) < lostLeader {
+		a.via = a.attached
+	}
+	return errRedirect
+}
+
 // learn applies changes. The caller holds mu.
 func (a *Agent) learn(g *wire.Grant) error {
 	if g.Revision <= a.view.Revision && !(g.Reset_ && a.view.Revision == 0) {
--- a/internal/control/place/place.go
+++ b/internal/control/place/place.go
@@ -93,13 +93,16 @@
 	leastLenders = 2
 	// mostLenders bounds it, so that each has a few connections and few stand idle.
 	mostLenders = 4
+	// substitutes is the number of strong hosts of any data centre that take over from the one
+	// of the instance's data centre: as many may be lost at once.
+	substitutes = 2
 )
 
 // Lenders chooses the hosts that hold connections to each instance where there are too few
 // connections for all hosts. Hosts of the instance's data centre come first; no host gets
 // more instances than its even share, by rendezvous hashing. Every host comes to the same
-// choice from the same lists. A strong host of the instance's data centre comes before them
-// and takes any number of instances.
+// choice from the same lists. A strong host of the instance's data centre comes before them,
+// takes any number of instances, and is followed by strong ones of other data centres.
 func Lenders(spots []Spot, hosts []Peer) map[string][]Peer {
 	all := hosts
 	hosts = slices.DeleteFunc(slices.Clone(all), func(h Peer) bool { return h.Strong })
@@ -108,9 +111,7 @@
 	load := map[string]int{}
 	chosen := map[string][]Peer{}
 	for _, s := range spots {
-		if h, ok := strongest(s, all); ok {
-			chosen[s.Instance] = append(chosen[s.Instance], h)
-		}
+		chosen[s.Instance] = strong(s, all)
 		near := slices.DeleteFunc(slices.Clone(hosts), func(h Peer) bool { return h.Center != s.Center })
 		if len(near) < leastLenders {
 			near = slices.Clone(hosts)
@@ -130,17 +131,19 @@
 	return chosen
 }
 
-// strongest returns the strong host of an instance's data centre, by rendezvous hashing.
-func strongest(s Spot, hosts []Peer) (best Peer, found bool) {
-	for _, h := range hosts {
-		if !h.Strong || h.Center != s.Center {
-			continue
-		}
-		if !found || score(s.Instance, h.Name) > score(s.Instance, best.Name) {
-			best, found = h, true
-		}
+// strong returns the strong hosts for an instance in the order in which they are asked, by
+// rendezvous hashing: one of its data centre, then substitutes. It returns none where its data
+// centre has none, since all bytes would go between data centres twice.
+func strong(s Spot, hosts []Peer) []Peer {
+	list := slices.DeleteFunc(slices.Clone(hosts), func(h Peer) bool { return !h.Strong })
+	sort.SliceStable(list, func(i, j int) bool { return score(s.Instance, list[i].Name) > score(s.Instance, list[j].Name) })
+	first := slices.IndexFunc(list, func(h Peer) bool { return h.Center == s.Center })
+	if first < 0 {
+		return nil
 	}
-	return best, found
+	near := list[first]
+	list = slices.Insert(slices.Delete(list, first, first+1), 0, near)
+	return list[:min(len(list), 1+substitutes)]
 }
 
 func spotsIn(spots []Spot, center string) int {
--- a/internal/tools/node/node.go
+++ b/internal/tools/node/node.go
@@ -48,7 +48,7 @@
 	leaseSilence = 650 * time.Millisecond
 	// linkDial bounds the opening of a connection to another host, many times a round trip. A
 	// host that is down does not answer, and another one is asked then.
-	linkDial = 300 * time.Millisecond
+	linkDial = 150 * time.Millisecond
 	// leaveLimit bounds the last word to control.
 	leaveLimit = 500 * time.Millisecond
 	// stopMargin is kept back from the time between SIGTERM and SIGKILL.
--- a/internal/tools/node/path_integration_test.go
+++ b/internal/tools/node/path_integration_test.go
@@ -14,6 +14,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/agatespindle/agatespindle/internal/backend/mimic"
+	"github.com/agatespindle/agatespindle/internal/base/clock"
 	"github.com/agatespindle/agatespindle/internal/control/spec"
 )
 
@@ -396,6 +397,29 @@
 	})
 }
 
+// TestHostCutFromTheLeaderKeepsItsLease plays primary_cut (split) of the grown days: a third of
+// the hosts lose their way to the control leader and reach its followers.
+func TestHostCutFromTheLeaderKeepsItsLease(t *testing.T) {
+	Convey("Given a host that is cut off from the control leader alone", t, func() {
+		c := start(t, 3, 1, false)
+		c.serve(1)
+		a := c.running["edge-0"].node.Agent
+		leader := a.Attached()
+		So(leader, ShouldNotBeEmpty)
+		c.cuts.set("edge-0", func(addr string) bool { return addr == leader })
+		Convey("It goes on over a follower before its lease runs out", func() {
+			without := 0
+			for range 150 {
+				time.Sleep(poll)
+				if !a.Valid(clock.Boot()) {
+					without++
+				}
+			}
+			So(without, ShouldEqual, 0)
+		})
+	})
+}
+
 // TestHostThatComesBackJoinsOnce plays what cost control hosts four times their processor time
 // on trouble-3 (bmpp-pool): a host that was forgotten while it was away joined and was forgotten
 // over and over, two hundred times a second.
--- a/internal/tools/node/traffic.go
+++ b/internal/tools/node/traffic.go
@@ -48,13 +48,13 @@
 	t.desk.Prepare()
 	t.lender = &lend.Lender{Desk: t.desk, Meter: n.Meter}
 	n.links.Handlers[lend.Service] = t.lender.Serve
+	n.links.Handlers[agent.RelayService] = n.Agent.Relay
 	n.traffic = t
 }
 
 // buildFront puts the part together that takes callers.
 func (n *Node) buildFront() {
 	t := n.traffic
-	n.links.Handlers[agent.RelayService] = n.Agent.Relay
 	n.Agent.Relays = n.relays
 	broker := &sess.Broker{Desk: t.desk, Costs: route.DefaultCosts(), Log: n.Log, Lines: sess.NewBudget(), Meter: n.Meter, Now: clock.Boot}
 	t.front = &front.Server{
--- a/internal/traffic/desk/desk.go
+++ b/internal/traffic/desk/desk.go
@@ -37,6 +37,9 @@
 	// behindMost while that goes on.
 	behindFirst = 25 * time.Millisecond
 	behindMost  = 200 * time.Millisecond
+	// catchesUp is how long a replica may have lacked what reads need for them to wait for it:
+	// usual lag. One that lags for longer won't have it within the time that callers expect.
+	catchesUp = 200 * time.Millisecond
 	// ailingFirst is how long an instance that failed a statement is passed over by reads; it
 	// doubles up to ailingMost with each further failure before a success.
 	ailingFirst = 100 * time.Millisecond
@@ -102,8 +105,8 @@
 	Leaving bool
 	// lenders are the hosts that use their connections for this one, where it has none.
 	lenders []string
-	// strong is set where the first lender is to be asked before the others.
-	strong bool
+	// strong is the number of lenders that are asked before the others, in order.
+	strong int
 	// others are the hosts that may help out while the instance has no room for this one.
 	others []string
 	// center and room are the instance's data centre and the connections that it accepts.
@@ -116,8 +119,10 @@
 
 // memory is what is kept of an instance over revisions.
 type memory struct {
-	behind  atomic.Int64
-	streak  atomic.Int64
+	behind atomic.Int64
+	streak atomic.Int64
+	// since is when the streak began.
+	since   atomic.Int64
 	deposed atomic.Int64
 	// unlent is until when no other host could reach the instance.
 	unlent atomic.Int64
@@ -338,22 +343,30 @@
 	return nil
 }
 
-// AnyBehind reports whether an instance in reach lacks nothing but a position.
-func (g *Group) AnyBehind(now time.Time, tried map[string]bool) bool {
+// CatchesUp reports whether an instance in reach lacks nothing but a position, and is not known
+// to have lacked what reads needed for long.
+func (g *Group) CatchesUp(now time.Time, tried map[string]bool) bool {
 	return slices.ContainsFunc(g.Copies(now, tried), func(c route.Copy) bool {
-		return c.Behind && !c.Down && !c.Tried && !c.Leaving
+		return c.Behind && !c.Down && !c.Tried && !c.Leaving && now.Sub(g.Member(c.Name).lackingSince()) < catchesUp
 	})
 }
 
+// lackingSince returns when the instance began to lack what reads needed.
+func (m *Member) lackingSince() time.Time { return time.Unix(0, m.shared.since.Load()) }
+
 // Behind takes note of a replica that lacked a position.
-func (m *Member) Behind(now time.Time) {
-	pause := min(behindFirst<<min(m.shared.streak.Add(1)-1, 8), behindMost)
-	m.shared.behind.Store(now.Add(pause).UnixNano())
-}
+func (m *Member) Behind(now time.Time) { m.passOver(now, behindFirst, behindMost) }
 
 // Ailing takes note of an instance that failed a statement that others may serve.
-func (m *Member) Ailing(now time.Time) {
-	pause := min(ailingFirst<<min(m.shared.streak.Add(1)-1, 8), ailingMost)
+func (m *Member) Ailing(now time.Time) { m.passOver(now, ailingFirst, ailingMost) }
+
+// passOver makes reads use other instances for a while that doubles with each call.
+func (m *Member) passOver(now time.Time, first, most time.Duration) {
+	n := m.shared.streak.Add(1)
+	if n == 1 {
+		m.shared.since.Store(now.UnixNano())
+	}
+	pause := min(first<<min(n-1, 8), most)
 	m.shared.behind.Store(now.Add(pause).UnixNano())
 }
 
--- a/internal/traffic/desk/errand.go
+++ b/internal/traffic/desk/errand.go
@@ -1,6 +1,7 @@
 package desk
 
 import (
+	"context"
 	"time"
 
 	"github.com/agatespindle/agatespindle/internal/base/fault"
@@ -17,6 +18,8 @@
 	rank  int
 	until time.Time
 	unit  pool.Unit
+	// own is set once this host has tried a connection of its own.
+	own bool
 	// settled is set once a request was sent to the instance.
 	settled bool
 }
@@ -64,11 +67,26 @@
 			e.m.shared.helper.Store(&addr)
 		}
 	}
-	if e.unit == nil {
-		e.m.Unlent(e.m.desk.Now())
-		return fault.New(fault.NotRun, fault.NoHolder, "no host lends a connection to instance %s", e.m.Instance)
+	if e.unit != nil {
+		return nil
+	}
+	return e.direct()
+}
+
+// direct takes a connection of this host where no other one lends one: it may be cut off from
+// them and not from the instance.
+func (e *errand) direct() error {
+	now := e.m.desk.Now()
+	if !e.own && now.Before(e.until) {
+		e.own = true
+		u, err := e.m.Own(context.Background(), e.until.Sub(now), e.rank)
+		if err == nil {
+			e.unit = u
+			return nil
+		}
 	}
-	return nil
+	e.m.Unlent(e.m.desk.Now())
+	return fault.New(fault.NotRun, fault.NoHolder, "no host lends a connection to instance %s", e.m.Instance)
 }
 
 // Release implements pool.Unit.
--- a/internal/traffic/desk/lend.go
+++ b/internal/traffic/desk/lend.go
@@ -43,13 +43,19 @@
 	return n
 }
 
+// maxDirect is the number of hosts up to which each holds connections of its own. Opening one
+// takes 12 ms of a slot, so that more hosts that start together keep an instance busy for
+// 100 ms; and with more hosts than that none of them sees enough of an instance's load.
+const maxDirect = 16
+
 // lend settles which hosts hold connections to which instances. Where an instance accepts at
-// least one connection from each host, all do; else a few hosts hold them for the others.
+// least one connection from each host, and they are not many, all do; else a few hosts hold
+// them for the others.
 func (d *Desk) lend(p *Plan, hosts []place.Peer) {
 	var spots []place.Spot
 	for _, g := range p.Groups {
 		for _, m := range g.Members {
-			if pool.Room(m.room) < weak(hosts) {
+			if n := weak(hosts); n > maxDirect || pool.Room(m.room) < n {
 				spots = append(spots, place.Spot{Instance: m.Instance, Center: m.center})
 			}
 		}
@@ -86,21 +92,25 @@
 	return list
 }
 
-// share makes this host hold its part of the connections to an instance, or borrow. A strong
-// lender has half of them.
+// share makes this host hold its part of the connections to an instance, or borrow. Where the
+// first lender is strong, nearly all statements go over it, and it has half of them.
 func (d *Desk) share(m *Member, lenders []place.Peer) {
-	m.strong = lenders[0].Strong
-	for _, h := range lenders {
+	m.strong = 0
+	for m.strong < len(lenders) && lenders[m.strong].Strong {
+		m.strong++
+	}
+	for i, h := range lenders {
 		if h.Name != d.Host {
 			m.lenders = append(m.lenders, h.Link)
 			continue
 		}
 		m.lenders = nil
+		m.Guard()
 		share := pool.Share(m.room, len(lenders))
-		if m.strong {
-			share = pool.Share(m.room, 2*(len(lenders)-1))
+		if m.strong > 0 {
+			share = pool.Share(m.room, 2*max(1, len(lenders)-1))
 		}
-		if h.Strong {
+		if m.strong > 0 && i == 0 {
 			share = pool.Share(m.room, 2)
 		}
 		m.Resize(m.room, share)
@@ -139,15 +149,11 @@
 	return m.errand(m.helpers(), patience, rank), nil
 }
 
-// order returns the lenders in the order in which they are asked: a strong one first, the
-// others in turn.
+// order returns the lenders in the order in which they are asked: the strong ones in an order
+// that all hosts share, then the others in turn.
 func (m *Member) order() []string {
 	list := slices.Clone(m.lenders)
-	rest := list
-	if m.strong {
-		rest = list[1:]
-	}
-	shuffle(rest)
+	shuffle(list[min(m.strong, len(list)):])
 	return list
 }
 
--- a/internal/traffic/flow/flow.go
+++ b/internal/traffic/flow/flow.go
@@ -87,13 +87,16 @@
 	TooLarge
 	Invalid
 	InDoubt
+	// Crowded means that this system has not sent the statement, since it would get no slot in
+	// time.
+	Crowded
 	// Unknown stands for a code that the codec does not know.
 	Unknown
 )
 
 var codeNames = [...]string{
 	"ok", "busy", "aborted", "behind", "readonly", "misdirected", "toomany", "failed", "nostatement",
-	"timeout", "denied", "nodatabase", "toolarge", "invalid", "indoubt", "unknown",
+	"timeout", "denied", "nodatabase", "toolarge", "invalid", "indoubt", "crowded", "unknown",
 }
 
 // String returns the name of the code as it stands in counters and log lines.
@@ -102,7 +105,7 @@
 // Promises reports whether the code tells a caller that nothing of its attempt is kept.
 func (c Code) Promises() bool {
 	switch c {
-	case Busy, Aborted, Behind, ReadOnly, Misdirected, TooMany:
+	case Busy, Aborted, Behind, ReadOnly, Misdirected, TooMany, Crowded:
 		return true
 	}
 	return false
@@ -112,7 +115,7 @@
 // statement did not run there.
 func (c Code) NotRun() bool {
 	switch c {
-	case Busy, NoStatement, Behind, ReadOnly, Misdirected, TooMany:
+	case Busy, NoStatement, Behind, ReadOnly, Misdirected, TooMany, Crowded:
 		return true
 	}
 	return false
@@ -169,7 +172,8 @@
 	Text string
 	// After, where not zero, is the position that the server's log must hold.
 	After token.Mark
-	// Name, Value, Shape and Writes are those of Assign, Define and Run.
+	// Name, Value and Shape are those of Assign, Define and Run. Writes is set for what writes or
+	// commits.
 	Name   string
 	Value  string
 	Shape  string
--- a/internal/traffic/lend/lend.go
+++ b/internal/traffic/lend/lend.go
@@ -30,8 +30,14 @@
 	keptStreams = 8
 	// openLimit bounds the opening of a stream.
 	openLimit = 300 * time.Millisecond
-	// shunFor is how long a host that did not answer is passed over.
-	shunFor = 700 * time.Millisecond
+	// revivePause is the time between two questions to a host that gave no sign of life, and
+	// reviveLimit how long it is asked and passed over at most.
+	revivePause = 250 * time.Millisecond
+	reviveLimit = 20 * time.Second
+	// pingAfter is how long an errand may stay without an answer before its host is asked for a
+	// sign of life, and pingLimit how long that may take; a round trip takes a few milliseconds.
+	pingAfter = 80 * time.Millisecond
+	pingLimit = 200 * time.Millisecond
 	// drainLimit bounds the wait for errands at a shutdown.
 	drainLimit = 1500 * time.Millisecond
 	// drainPoll is the interval at which a drain looks for units in use.
@@ -151,6 +157,9 @@
 	mu      sync.Mutex
 	streams map[string][]*link.Conn
 	shunned map[string]time.Time
+	// pings are the questions for a sign of life that are on their way, by host. Each is closed
+	// with its answer; a host that gave none stands in shunned.
+	pings map[string]chan struct{}
 }
 
 // errShunned tells of a host that has not answered a moment ago.
@@ -181,18 +190,88 @@
 	return b.Now().Before(b.shunned[addr])
 }
 
-// shun passes a host over for a moment that did not answer, and closes what is kept to it.
+// shun passes a host over that did not answer until it gives a sign of life, and closes what is
+// kept to it.
 func (b *Borrower) shun(addr string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.shunned == nil {
 		b.shunned = map[string]time.Time{}
 	}
-	b.shunned[addr] = b.Now().Add(shunFor)
 	for _, c := range b.streams[addr] {
 		c.Close()
 	}
 	delete(b.streams, addr)
+	now := b.Now()
+	if now.Before(b.shunned[addr]) {
+		return
+	}
+	b.shunned[addr] = now.Add(reviveLimit)
+	go b.revive(addr)
+}
+
+// doubt finds out whether a host that left a request unanswered is out of reach: it may be the
+// instance that does not answer.
+func (b *Borrower) doubt(addr string, c *link.Conn) {
+	if c.Ended() {
+		b.shun(addr)
+		return
+	}
+	go b.alive(addr, c)
+}
+
+// alive asks a host for a sign of life and passes it over where none comes. Calls for the same
+// host share one question.
+func (b *Borrower) alive(addr string, c *link.Conn) bool {
+	b.mu.Lock()
+	done, asked := b.pings[addr]
+	if !asked {
+		if b.pings == nil {
+			b.pings = map[string]chan struct{}{}
+		}
+		done = make(chan struct{})
+		b.pings[addr] = done
+	}
+	b.mu.Unlock()
+	if asked {
+		<-done
+		return !b.shuns(addr)
+	}
+	err := c.Ping(pingLimit)
+	if err != nil {
+		b.shun(addr)
+	}
+	b.mu.Lock()
+	delete(b.pings, addr)
+	b.mu.Unlock()
+	close(done)
+	return err == nil
+}
+
+// revive asks a host that gave no sign of life for one until it does, and then passes it over no
+// more. It ends after reviveLimit at the latest.
+func (b *Borrower) revive(addr string) {
+	for end := b.Now().Add(reviveLimit); b.Now().Before(end); {
+		time.Sleep(revivePause)
+		if b.answers(addr) {
+			b.mu.Lock()
+			delete(b.shunned, addr)
+			b.mu.Unlock()
+			return
+		}
+	}
+}
+
+// answers reports whether a host gives a sign of life on a new stream.
+func (b *Borrower) answers(addr string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), openLimit)
+	defer cancel()
+	c, err := b.Dialer.Open(ctx, addr, Service)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	return c.Ping(pingLimit) == nil
 }
 
 // kept returns an idle stream to a host, or nil.
@@ -249,8 +328,8 @@
 		return flow.Answer{}, flow.Sent, err
 	}
 	r := &wire.Errandreply{}
-	if err := u.stream.Recv(r); err != nil {
-		u.b.shun(u.addr)
+	if err := u.receive(r, q.Writes); err != nil {
+		u.b.doubt(u.addr, u.stream)
 		return flow.Answer{}, flow.Sent, err
 	}
 	if r.Error != "" {
@@ -265,6 +344,18 @@
 	return a, flow.Answered, nil
 }
 
+// receive waits for the answer. One that may be asked for elsewhere is not waited for longer
+// than its host gives signs of life; what may have been written is.
+func (u *unit) receive(r *wire.Errandreply, writes bool) error {
+	watch := time.AfterFunc(pingAfter, func() {
+		if !u.b.alive(u.addr, u.stream) && !writes {
+			_ = u.stream.SetDeadline(time.Now())
+		}
+	})
+	defer watch.Stop()
+	return u.stream.Recv(r)
+}
+
 // Release implements pool.Unit.
 func (u *unit) Release() {
 	if !u.done {
--- a/internal/traffic/pool/conn.go
+++ b/internal/traffic/pool/conn.go
@@ -48,6 +48,12 @@
 	// shapes are the names under which statements are prepared on the connection.
 	shapes map[shape]string
 	parked time.Time
+	// rank is the urgency of the present use, and until when its first statement must have a
+	// slot to be served in time.
+	rank  int
+	until time.Time
+	// pinned is set while a transaction is open.
+	pinned bool
 }
 
 type shape struct {
@@ -83,6 +89,7 @@
 		if err := fits(q, a); err != nil {
 			return flow.Answer{}, flow.Sent, err
 		}
+		c.pinned = a.State != flow.Idle
 		if i == len(list)-1 {
 			c.server.served(time.Since(began))
 			return a, flow.Answered, nil
@@ -153,6 +160,12 @@
 			return flow.Answer{}, flow.Unsent, err
 		}
 	}
+	waited, leave, ok := c.enter(limit, q.Op)
+	if !ok {
+		return flow.Answer{Code: flow.Crowded, Text: c.server.Instance, State: c.state()}, flow.Answered, nil
+	}
+	defer leave()
+	limit -= waited
 	if q.Op != flow.Run {
 		return c.ask(limit, q)
 	}
@@ -161,6 +174,37 @@
 	return c.ask(limit, append(before, q)...)
 }
 
+// enter waits until the request may be sent, where this host orders what it sends to the
+// instance. It reports false where that would be too late; else leave must be called.
+func (c *Conn) enter(limit time.Duration, op flow.Op) (waited time.Duration, leave func(), ok bool) {
+	g := c.server.guard()
+	if g == nil || !takesSlot(op) && !opens(op) {
+		return 0, func() {}, true
+	}
+	began := c.server.Now()
+	t := ticket(c.rank, c.pinned, c.until)
+	switch {
+	case c.pinned:
+		t.Deadline = began.Add(limit)
+	case opens(op):
+		t = opening(c.rank, c.until)
+	}
+	leave, ok = g.enter(t)
+	if ok && opens(op) {
+		leave()
+		leave = func() {}
+	}
+	return c.server.Now().Sub(began), leave, ok
+}
+
+// state returns the state of the connection after the last answer.
+func (c *Conn) state() flow.State {
+	if c.pinned {
+		return flow.Open
+	}
+	return flow.Idle
+}
+
 // Undo rolls back in the background and gives the connection back, or closes it.
 func Undo(u Unit) {
 	go func() {
--- a/internal/traffic/pool/pool.go
+++ b/internal/traffic/pool/pool.go
@@ -66,6 +66,7 @@
 
 	load    atomic.Int64
 	latency atomic.Int64
+	gate    atomic.Pointer[gate]
 
 	mu      sync.Mutex
 	idle    []*Conn
@@ -91,8 +92,9 @@
 
 // waiter waits for a connection.
 type waiter struct {
-	rank int
-	got  chan result
+	rank  int
+	until time.Time
+	got   chan result
 }
 
 type result struct {
@@ -114,6 +116,15 @@
 	s.share = share
 }
 
+// Guard makes this host order what it sends to the instance, since most of it comes this way.
+func (s *Server) Guard() {
+	if s.gate.Load() == nil {
+		s.gate.Store(newGate(s.Slots, s.Now))
+	}
+}
+
+func (s *Server) guard() *gate { return s.gate.Load() }
+
 // Room returns how many connections to an instance hosts may have together.
 func Room(limit int) int { return max(1, limit-spare) }
 
@@ -194,8 +205,7 @@
 	s.mu.Lock()
 	if c := s.take(now); c != nil {
 		s.mu.Unlock()
-		s.load.Add(1)
-		return c, nil
+		return s.lend(c, rank, now.Add(limit)), nil
 	}
 	if s.closed || s.down {
 		s.mu.Unlock()
@@ -205,7 +215,7 @@
 		s.mu.Unlock()
 		return nil, s.noRoom()
 	}
-	w := &waiter{rank: rank, got: make(chan result, 1)}
+	w := &waiter{rank: rank, until: now.Add(limit), got: make(chan result, 1)}
 	s.enqueue(w)
 	s.extend(now)
 	s.mu.Unlock()
@@ -225,7 +235,7 @@
 	defer t.Stop()
 	select {
 	case r := <-w.got:
-		return s.arrived(r)
+		return s.arrived(w, r)
 	case <-t.C:
 	case <-ctx.Done():
 	}
@@ -239,18 +249,24 @@
 	s.mu.Unlock()
 	select {
 	case r := <-w.got:
-		return s.arrived(r)
+		return s.arrived(w, r)
 	default:
 	}
 	return nil, fault.New(fault.NotRun, fault.Deadline, "no connection to instance %s was free in time", s.Instance)
 }
 
-func (s *Server) arrived(r result) (*Conn, error) {
+func (s *Server) arrived(w *waiter, r result) (*Conn, error) {
 	if r.err != nil {
 		return nil, r.err
 	}
+	return s.lend(r.conn, w.rank, w.until), nil
+}
+
+// lend begins a use of a connection.
+func (s *Server) lend(c *Conn, rank int, until time.Time) *Conn {
 	s.load.Add(1)
-	return r.conn, nil
+	c.rank, c.until = rank, until
+	return c
 }
 
 // enqueue puts a waiter behind those of its rank. The caller holds mu.
@@ -313,7 +329,7 @@
 	if s.pending > 0 && now.Sub(s.silent) > silentAfter {
 		s.suspect(s.silent)
 	}
-	for s.open > s.share && len(s.idle) > 0 && (s.share == 0 || now.Sub(s.idle[0].parked) > surplusIdle) {
+	for s.open > s.share && len(s.idle) > 0 && now.Sub(s.idle[0].parked) > surplusIdle {
 		s.idle[0].raw.Close()
 		s.idle = s.idle[1:]
 		s.open--
--- a/internal/traffic/pool/pool__dial.go
+++ b/internal/traffic/pool/pool__dial.go
@@ -21,7 +21,7 @@
 // room returns how many connections this host may have. The caller holds mu.
 func (s *Server) room(now time.Time) int {
 	if now.Before(s.scarce) {
-		return min(s.share, s.limit)
+		return min(max(1, s.share), s.limit)
 	}
 	return s.limit
 }
@@ -81,7 +81,7 @@
 		w.got <- result{conn: c}
 		return
 	}
-	if s.open > s.share && (now.Before(s.scarce) || s.share == 0) {
+	if s.open > s.share && now.Before(s.scarce) {
 		c.raw.Close()
 		s.open--
 		return
--- a/internal/traffic/queue/queue.go
+++ b/internal/traffic/queue/queue.go
@@ -20,6 +20,9 @@
 	Deadline time.Time
 	// Pinned is set for a request inside a transaction: it holds a connection already.
 	Pinned bool
+	// Work is the number of requests that follow from this one, itself included; zero stands
+	// for one. A class pays for all of them.
+	Work int
 }
 
 // Decision tells that a ticket has its slot, or why it gets none.
@@ -157,7 +160,7 @@
 			return out
 		}
 		t := q.lines[c].pop()
-		q.pass[c] += stride[c]
+		q.pass[c] += stride[c] * max(1, t.Work)
 		q.running[t.ID] = start{now, c}
 		out = append(out, Decision{ID: t.ID})
 	}
--- a/internal/traffic/sess/sess.go
+++ b/internal/traffic/sess/sess.go
@@ -161,7 +161,7 @@
 
 // request returns what is asked of an instance, and what a single statement may leave behind.
 func (s *Session) request(st flow.Statement) (flow.Request, flow.Effect, *flow.Answer) {
-	q := flow.Request{Op: flow.Forward, ID: st.ID, Text: st.Text}
+	q := flow.Request{Op: flow.Forward, ID: st.ID, Text: st.Text, Writes: st.Kind == flow.Write || st.Kind == flow.Commit}
 	switch st.Kind {
 	case flow.Write:
 		return q, flow.Writes, nil
--- a/internal/traffic/sess/single.go
+++ b/internal/traffic/sess/single.go
@@ -102,7 +102,7 @@
 // they receive soon. It reports false where that would come too late for the caller.
 func (a *attempt) awaits(ctx context.Context) bool {
 	now := a.s.b.Now()
-	if a.guarded || now.Sub(a.began)+catchUpPause > a.db.Goal || !a.group.AnyBehind(now, a.tried) {
+	if a.guarded || now.Sub(a.began)+catchUpPause > a.db.Goal || !a.group.CatchesUp(now, a.tried) {
 		return false
 	}
 	a.tries--
@@ -201,10 +201,11 @@
 	return "replica"
 }
 
-// patience is how long the statement may wait for a connection: a share of what callers
-// expect, after which a refusal serves them better.
+// patience is how long the statement may wait for a connection and a slot: what is left of the
+// time that callers expect, after which a refusal serves them better.
 func (a *attempt) patience() time.Duration {
-	return min(a.left(a.s.b.Now()), max(leastWait, a.db.Goal))
+	now := a.s.b.Now()
+	return min(a.left(now), max(leastWait, a.db.Goal-now.Sub(a.began)))
 }
 
 // limit is how long the statement may wait for its answer. A read that stays unanswered is
