--- a/internal/backend/mimic/instance.go
+++ b/internal/backend/mimic/instance.go
@@ -16,6 +16,8 @@
 	Name string
 	Addr string
 	Zone string
+	// Public, where set, is the address that the instance announces: that of a relay.
+	Public string
 
 	group *Group
 	ln    net.Listener
@@ -88,6 +90,13 @@
 	in.wg.Wait()
 }
 
+// Gone reports whether the instance has crashed.
+func (in *Instance) Gone() bool {
+	in.group.mu.Lock()
+	defer in.group.mu.Unlock()
+	return in.down
+}
+
 // SetDeaf makes the instance receive nothing any more.
 func (in *Instance) SetDeaf(deaf bool) {
 	in.group.mu.Lock()
--- a/internal/backend/mimic/outside.go
+++ b/internal/backend/mimic/outside.go
@@ -42,8 +42,12 @@
 	if in.group.Leader() == in.Name {
 		role = "primary"
 	}
+	addr := in.Addr
+	if in.Public != "" {
+		addr = in.Public
+	}
 	b, err := json.Marshal(map[string]any{
-		"service": in.group.Name, "addr": in.Addr, "zone": in.Zone, "version": "v1", "slots": 2, "state": "ready",
+		"service": in.group.Name, "addr": addr, "zone": in.Zone, "version": "v1", "slots": 2, "state": "ready",
 		"cold_left_ms": 0, "db_role": role, "seq": seq, "born": in.born,
 	})
 	if err != nil {
