pool: Open one connection to an instance at a time

Change: a host opens one after the other; those that wait get the connections that come free meanwhile.

Test: TestConnectionsAreOpenedOneAtATime, 30 at once without the change.

--- /dev/null
+++ b/internal/traffic/pool/dial_test.go
@@ -0,0 +1,59 @@
+package pool_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/agatespindle/agatespindle/internal/backend/mimic"
+	"github.com/agatespindle/agatespindle/internal/base/clock"
+	"github.com/agatespindle/agatespindle/internal/base/logs"
+	"github.com/agatespindle/agatespindle/internal/base/meter"
+	"github.com/agatespindle/agatespindle/internal/traffic/pool"
+	"github.com/agatespindle/agatespindle/platform"
+)
+
+// TestConnectionsAreOpenedOneAtATime plays the restart of all hosts at the end of trouble-1 of
+// dosf-spindle-grown: each opening takes 12 ms of a slot, so that one for each statement that
+// waits keeps the instance from serving any.
+func TestConnectionsAreOpenedOneAtATime(t *testing.T) {
+	Convey("Given many statements that come before there is a connection", t, func() {
+		g := &mimic.Group{Name: "g", MaxConns: 100}
+		in, err := g.Start("i", "127.0.0.1:0", "a")
+		So(err, ShouldBeNil)
+		defer in.Crash()
+		var d net.Dialer
+		var dialing, most atomic.Int64
+		s := &pool.Server{
+			Group: "g", Instance: "i", Addr: in.Addr, Slots: 2, Codec: platform.ServerCodec(), Log: logs.Discard(), Meter: meter.New(), Now: clock.Boot,
+			Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+				most.Store(max(most.Load(), dialing.Add(1)))
+				defer dialing.Add(-1)
+				clock.Sleep(ctx, 5*time.Millisecond)
+				return d.DialContext(ctx, "tcp", addr)
+			},
+		}
+		s.Resize(90, 60)
+		defer s.Shut()
+		var wg sync.WaitGroup
+		var served atomic.Int64
+		for i := range 30 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				if single(s, 2, fmt.Sprint("s", i)) {
+					served.Add(1)
+				}
+			}()
+		}
+		wg.Wait()
+		So(most.Load(), ShouldEqual, 1)
+		So(served.Load(), ShouldEqual, 30)
+	})
+}
--- a/internal/traffic/pool/pool.go
+++ b/internal/traffic/pool/pool.go
@@ -34,6 +34,9 @@
 	fullPause = 60 * time.Millisecond
 	// probePause is the time between two tries to reach an instance that failed.
 	probePause = 100 * time.Millisecond
+	// dialsAtOnce is the number of connections to an instance that a host opens at once. Each takes
+	// 12 ms of a slot, which all that wait for one would take from each other's statements.
+	dialsAtOnce = 1
 	// quietAfter is how long a connection may rest before its next use looks at the socket.
 	quietAfter = 5 * time.Millisecond
 	// smoothing is the weight of the past in the mean latency.
--- a/internal/traffic/pool/pool__dial.go
+++ b/internal/traffic/pool/pool__dial.go
@@ -12,7 +12,7 @@
 // extend opens connections for those that wait, as far as the instance has room. The caller
 // holds mu.
 func (s *Server) extend(now time.Time) {
-	for s.dialing < len(s.waiting) && s.open+s.dialing < s.room(now) && !now.Before(s.full) {
+	for s.dialing < min(len(s.waiting), dialsAtOnce) && s.open+s.dialing < s.room(now) && !now.Before(s.full) {
 		s.dialing++
 		go s.dial()
 	}
@@ -41,6 +41,7 @@
 		s.reached(now)
 		s.open++
 		s.hand(now, c)
+		s.extend(now)
 	}
 }
 
