node: Ask for a place in the quorum every 100 ms; wait for five voters in a test

Its lines show the cause: the test declares 0.1 s after the control hosts have founded a quorum of three, stops them at 0.7 s, and takes two disks while the fourth and fifth host still learn, so that two of four voters are left. By the deployment a host that starts anew counts as lost for 4 s, and two more must not be lost meanwhile; the case is not allowed.

Change: hosts without a vote ask every 100 ms, not 500 ms. The test waits for five voters, and fails if they take longer than those 4 s; what it checked it checks still.

--- a/internal/tools/node/control.go
+++ b/internal/tools/node/control.go
@@ -24,8 +24,11 @@
 	election = 350 * time.Millisecond
 	// beat is the interval of heartbeats between control hosts.
 	beat = 80 * time.Millisecond
-	// joinInterval is the time between two requests for a place in the quorum.
-	joinInterval = 500 * time.Millisecond
+	// joinPause is the time between two requests for a place in the quorum, and joinLimit bounds
+	// one: three changes of the membership lie between a lost disk and a vote, and a second disk
+	// may be lost as soon as the host counts as back.
+	joinPause = 100 * time.Millisecond
+	joinLimit = 500 * time.Millisecond
 	// unheard is how long a voter hears no leader before it asks for its place again: it may
 	// have been removed while it was cut off.
 	unheard = 3 * time.Second
@@ -94,7 +97,7 @@
 	done := make(chan error, 1)
 	go func() {
 		for ctx.Err() == nil {
-			clock.Sleep(ctx, joinInterval)
+			clock.Sleep(ctx, joinPause)
 			if !c.settled(clock.Boot()) {
 				c.ask(ctx)
 			}
@@ -116,7 +119,7 @@
 }
 
 func (c *control) ask(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, joinInterval)
+	ctx, cancel := context.WithTimeout(ctx, joinLimit)
 	defer cancel()
 	me := &wire.Member{Id: c.driver.ID, Addr: c.n.cfg.Link()}
 	if _, err := c.n.Agent.Call(ctx, &wire.Call{Method: leader.Member, Member: me}); err != nil {
--- a/internal/tools/node/path_integration_test.go
+++ b/internal/tools/node/path_integration_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -15,6 +16,8 @@
 
 	"github.com/agatespindle/agatespindle/internal/backend/mimic"
 	"github.com/agatespindle/agatespindle/internal/base/clock"
+	"github.com/agatespindle/agatespindle/internal/base/wire"
+	"github.com/agatespindle/agatespindle/internal/control/leader"
 	"github.com/agatespindle/agatespindle/internal/control/spec"
 )
 
@@ -202,6 +205,26 @@
 	})
 }
 
+// catchUp is how long a host counts as lost after it has started anew, by the deployment.
+const catchUp = 4 * time.Second
+
+// voters returns the number of voters in the quorum by the leader's word, zero without it.
+func (c *cluster) voters() int {
+	ctx, cancel := context.WithTimeout(c.ctx, time.Second)
+	defer cancel()
+	reply, err := c.running["edge-0"].node.Agent.Call(ctx, &wire.Call{Method: leader.Fetch})
+	if err != nil {
+		return 0
+	}
+	n := 0
+	for _, m := range reply.Members.GetMembers() {
+		if !m.Learner {
+			n++
+		}
+	}
+	return n
+}
+
 func TestDeclarationsOnThePlatform(t *testing.T) {
 	Convey("Given five control hosts", t, func() {
 		c := start(t, 5, 1, false)
@@ -225,6 +248,11 @@
 			So(held(c.control(4)), ShouldEqual, string(manifest(7)))
 		})
 		Convey("What was acknowledged outlasts the end of all hosts and the loss of two disks", func() {
+			// Hosts that have just started for the first time still count as lost, for catchUp; two
+			// more must not be lost before.
+			for began := time.Now(); c.voters() < 5; time.Sleep(poll) {
+				So(time.Since(began), ShouldBeLessThan, catchUp)
+			}
 			c.eventually("acknowledgment", func() bool { return post(c.control(3), manifest(21)) == http.StatusOK })
 			for i := range 5 {
 				So(c.stop(fmt.Sprint("core-", i)), ShouldBeNil)
--- a/internal/traffic/pool/dial_test.go
+++ b/internal/traffic/pool/dial_test.go
@@ -13,10 +13,6 @@
 
 	"github.com/agatespindle/agatespindle/internal/backend/mimic"
 	"github.com/agatespindle/agatespindle/internal/base/clock"
-	"github.com/agatespindle/agatespindle/internal/base/logs"
-	"github.com/agatespindle/agatespindle/internal/base/meter"
-	"github.com/agatespindle/agatespindle/internal/traffic/pool"
-	"github.com/agatespindle/agatespindle/platform"
 )
 
 // TestConnectionsAreOpenedOneAtATime plays the restart of all hosts at the end of trouble-1 of
@@ -30,16 +26,12 @@
 		defer in.Crash()
 		var d net.Dialer
 		var dialing, most atomic.Int64
-		s := &pool.Server{
-			Group: "g", Instance: "i", Addr: in.Addr, Slots: 2, Codec: platform.ServerCodec(), Log: logs.Discard(), Meter: meter.New(), Now: clock.Boot,
-			Dial: func(ctx context.Context, addr string) (net.Conn, error) {
-				most.Store(max(most.Load(), dialing.Add(1)))
-				defer dialing.Add(-1)
-				clock.Sleep(ctx, 5*time.Millisecond)
-				return d.DialContext(ctx, "tcp", addr)
-			},
-		}
-		s.Resize(90, 60)
+		s := server(in, func(ctx context.Context, addr string) (net.Conn, error) {
+			most.Store(max(most.Load(), dialing.Add(1)))
+			defer dialing.Add(-1)
+			clock.Sleep(ctx, 5*time.Millisecond)
+			return d.DialContext(ctx, "tcp", addr)
+		})
 		defer s.Shut()
 		var wg sync.WaitGroup
 		var served atomic.Int64
--- a/internal/traffic/pool/gate_test.go
+++ b/internal/traffic/pool/gate_test.go
@@ -48,6 +48,16 @@
 	}
 }
 
+// server returns a host's connections to a stand-in's instance with two slots.
+func server(in *mimic.Instance, dial func(context.Context, string) (net.Conn, error)) *pool.Server {
+	s := &pool.Server{
+		Group: "g", Instance: "i", Addr: in.Addr, Slots: 2, Codec: platform.ServerCodec(), Log: logs.Discard(), Meter: meter.New(),
+		Now: clock.Boot, Dial: dial,
+	}
+	s.Resize(90, 60)
+	return s
+}
+
 // single runs one read of a rank.
 func single(s *pool.Server, rank int, id string) bool {
 	c, err := s.Get(context.Background(), goal, rank)
@@ -92,11 +102,7 @@
 		So(err, ShouldBeNil)
 		defer in.Crash()
 		var d net.Dialer
-		s := &pool.Server{
-			Group: "g", Instance: "i", Addr: in.Addr, Slots: 2, Codec: platform.ServerCodec(), Log: logs.Discard(), Meter: meter.New(), Now: clock.Boot,
-			Dial: func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) },
-		}
-		s.Resize(90, 60)
+		s := server(in, func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) })
 		s.Guard()
 		defer s.Shut()
 		var urgent, singles, transactions tally
