desk: List the other hosts once a view, not once an instance

Found in the read-through: the list was made again for each instance, hosts x instances for each change of the view. No change of behaviour; the agent's test returns one number.

--- a/internal/control/agent/agent_test.go
+++ b/internal/control/agent/agent_test.go
@@ -34,9 +34,9 @@
 	return conn, err
 }
 
-// askLeases runs an agent before one control host whose lease streams are served by serve. It
-// returns the number of connections and of streams once want streams were opened.
-func askLeases(t *testing.T, want int64, silence time.Duration, serve func(c *link.Conn)) (conns, streams int64) {
+// connections runs an agent before one control host whose lease streams are served by serve. It
+// returns the number of connections that were opened for a number of streams.
+func connections(t *testing.T, streams int, silence time.Duration, serve func(c *link.Conn)) int64 {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	So(err, ShouldBeNil)
 	count := &counted{Listener: ln}
@@ -53,35 +53,35 @@
 	}
 	a.Prepare()
 	done := a.Run(ctx)
-	for range want {
+	for range streams {
 		<-opened
 	}
-	conns = count.n.Load()
+	n := count.n.Load()
 	cancel()
 	So(<-done, ShouldBeNil)
 	a.Dialer.Close()
 	So(<-served, ShouldBeNil)
-	return conns, want
+	return n
 }
 
 // TestAnswersKeepTheSession: control hosts use the same session for their votes, and during an
 // election all of them say that nobody leads.
 func TestAnswersKeepTheSession(t *testing.T) {
 	Convey("A control host that answers that nobody leads keeps its session", t, func() {
-		conns, _ := askLeases(t, 5, time.Second, func(c *link.Conn) {
+		n := connections(t, 5, time.Second, func(c *link.Conn) {
 			r := &wire.Renew{}
 			if c.Recv(r) == nil {
 				_ = c.Send(&wire.Grant{Reason: string(fault.NoLeader)})
 				_ = c.Recv(r)
 			}
 		})
-		So(conns, ShouldEqual, 1)
+		So(n, ShouldEqual, 1)
 	})
 	Convey("One that brings nothing loses it, since the connection may be dead", t, func() {
-		conns, streams := askLeases(t, 3, 60*time.Millisecond, func(c *link.Conn) {
+		n := connections(t, 3, 60*time.Millisecond, func(c *link.Conn) {
 			for c.Recv(&wire.Renew{}) == nil {
 			}
 		})
-		So(conns, ShouldEqual, streams)
+		So(n, ShouldEqual, 3)
 	})
 }
--- a/internal/traffic/desk/lend.go
+++ b/internal/traffic/desk/lend.go
@@ -63,9 +63,10 @@
 	if d.Borrow == nil {
 		return
 	}
+	others := d.others(hosts)
 	for _, g := range p.Groups {
 		for _, m := range g.Members {
-			m.others = d.others(hosts)
+			m.others = others
 		}
 	}
 	if len(spots) == 0 {
