place: Leave control a connection to each instance; sess: Refuse what comes while a host ends

Cause, by the leader's lines: lenders of an instance that accepts 5 connections kept 6 together (at least one each), so that the leader's questions for its state found no room, 657 times, and the sealed term never got another primary. Change: shares are one decision (place.Shares) that never exceeds the room; lenders beyond it hold none.

Change: an attempt has its group from the start.

Tests, each failing first: TestSharesLeaveRoom, TestStatementsAfterTheEndAreRefused.

--- a/internal/control/place/lenders_test.go
+++ b/internal/control/place/lenders_test.go
@@ -62,3 +62,29 @@
 		}
 	})
 }
+
+// TestSharesLeaveRoom checks that lenders together keep no more connections open than they may:
+// what is left over is control's, which asks instances for their state during a failover.
+func TestSharesLeaveRoom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		room := rapid.IntRange(1, 120).Draw(t, "room")
+		strong := rapid.IntRange(0, 3).Draw(t, "strong")
+		var lenders []place.Peer
+		for i := range rapid.IntRange(1, 6).Draw(t, "lenders") {
+			lenders = append(lenders, place.Peer{Name: fmt.Sprint("h", i), Strong: i < strong})
+		}
+		sum := 0
+		for _, n := range place.Shares(room, lenders) {
+			if n < 1 {
+				t.Fatalf("a lender has %d connections", n)
+			}
+			sum += n
+		}
+		if sum < 1 || sum > room {
+			t.Fatalf("%d lenders keep %d of %d connections", len(lenders), sum, room)
+		}
+		if room >= 2*len(lenders) && len(place.Shares(room, lenders)) != len(lenders) {
+			t.Fatalf("a lender has none of %d connections", room)
+		}
+	})
+}
--- a/internal/control/place/place.go
+++ b/internal/control/place/place.go
@@ -131,6 +131,31 @@
 	return chosen
 }
 
+// Shares returns how many connections to an instance each lender keeps open, of a number that
+// hosts may have together. Where the first one is strong, nearly all statements go over it, and
+// it has half of them. Lenders beyond the number of connections get none: the list ends before.
+func Shares(room int, lenders []Peer) []int {
+	first := 0
+	if len(lenders) > 0 && lenders[0].Strong {
+		first = max(1, room/2)
+	}
+	rest := lenders
+	var shares []int
+	if first > 0 {
+		shares = append(shares, first)
+		rest = lenders[1:]
+	}
+	left := room - first
+	n := min(len(rest), left)
+	for range n {
+		shares = append(shares, left/n)
+	}
+	if len(shares) == 0 && len(lenders) > 0 {
+		return []int{1}
+	}
+	return shares
+}
+
 // strong returns the strong hosts for an instance in the order in which they are asked, by
 // rendezvous hashing: one of its data centre, then substitutes. It returns none where its data
 // centre has none, since all bytes would go between data centres twice.
--- a/internal/traffic/desk/lend.go
+++ b/internal/traffic/desk/lend.go
@@ -93,9 +93,10 @@
 	return list
 }
 
-// share makes this host hold its part of the connections to an instance, or borrow. Where the
-// first lender is strong, nearly all statements go over it, and it has half of them.
+// share makes this host hold its part of the connections to an instance, or borrow.
 func (d *Desk) share(m *Member, lenders []place.Peer) {
+	shares := place.Shares(pool.Room(m.room), lenders)
+	lenders = lenders[:len(shares)]
 	m.strong = 0
 	for m.strong < len(lenders) && lenders[m.strong].Strong {
 		m.strong++
@@ -107,14 +108,7 @@
 		}
 		m.lenders = nil
 		m.Guard()
-		share := pool.Share(m.room, len(lenders))
-		if m.strong > 0 {
-			share = pool.Share(m.room, 2*max(1, len(lenders)-1))
-		}
-		if m.strong > 0 && i == 0 {
-			share = pool.Share(m.room, 2)
-		}
-		m.Resize(m.room, share)
+		m.Resize(m.room, shares[i])
 		return
 	}
 	m.Resize(m.room, 0)
--- a/internal/traffic/sess/inside.go
+++ b/internal/traffic/sess/inside.go
@@ -72,7 +72,7 @@
 // several.
 func (s *Session) enter(ctx context.Context, st flow.Statement) (flow.Answer, bool) {
 	tx := s.tx
-	a := &attempt{s: s, db: tx.db, began: s.b.Now(), id: st.ID, guarded: !tx.read, last: flow.Verdict{Code: flow.Busy}}
+	a := s.attempt(s.b.Now(), tx.db, st, !tx.read)
 	for a.next(ctx) {
 		m, ok := a.place(ctx, s.b.Now(), tx.read)
 		if !ok && a.awaits(ctx) {
--- a/internal/traffic/sess/single.go
+++ b/internal/traffic/sess/single.go
@@ -37,7 +37,7 @@
 	if !ok {
 		return flow.Refuse(flow.NoDatabase, flow.Idle, s.database)
 	}
-	a := &attempt{s: s, db: db, began: now, id: st.ID, guarded: effect == flow.Writes, last: flow.Verdict{Code: flow.Busy}}
+	a := s.attempt(now, db, st, effect == flow.Writes)
 	for a.next(ctx) {
 		m, ok := a.place(ctx, s.b.Now(), effect == flow.Reads)
 		if !ok && a.awaits(ctx) {
@@ -54,6 +54,13 @@
 	return a.refuse(s.b.Now())
 }
 
+// attempt returns a statement, or the opening of a transaction, before its first try.
+func (s *Session) attempt(now time.Time, db spec.Database, st flow.Statement, guarded bool) *attempt {
+	return &attempt{
+		s: s, db: db, group: &desk.Group{Name: db.Group}, began: now, id: st.ID, guarded: guarded, last: flow.Verdict{Code: flow.Busy},
+	}
+}
+
 // next reports whether another try may be made.
 func (a *attempt) next(ctx context.Context) bool {
 	if a.tries >= maxTries || ctx.Err() != nil {
