pool: Take a connection with the place at the instance; lend wherever control hosts can

Ruled out: half of the share for each host (no trial: nine hosts need nine connections before a burst).

--- a/internal/backend/mimic/instance.go
+++ b/internal/backend/mimic/instance.go
@@ -30,7 +30,9 @@
 	deaf  bool
 	lost  int
 	conns map[net.Conn]bool
-	wg    sync.WaitGroup
+	// occupied is set while every statement that takes a slot is refused.
+	occupied atomic.Bool
+	wg       sync.WaitGroup
 	// slots bounds what runs at once; it is nil where there is no bound. busy counts what runs
 	// or waits, ran and refused what did and what found no place.
 	slots   chan struct{}
@@ -104,6 +106,9 @@
 	in.deaf = deaf
 }
 
+// Occupy makes the instance refuse all statements that take a slot.
+func (in *Instance) Occupy(occupied bool) { in.occupied.Store(occupied) }
+
 // LoseAnswers makes the instance run the next n single writes and lose their answers.
 func (in *Instance) LoseAnswers(n int) {
 	in.group.mu.Lock()
@@ -208,15 +213,15 @@
 
 // query answers one query. It reports false where the connection ends without an answer.
 func (p *peer) query(id, text string) bool {
+	if takesSlot(text) && p.in.occupied.Load() {
+		return p.busy()
+	}
 	if !takesSlot(text) || p.in.slots == nil {
 		return p.run(id, text)
 	}
 	if p.in.busy.Add(1) > int64(p.in.group.Slots+p.in.group.Queue) {
 		p.in.busy.Add(-1)
-		p.in.refused.Add(1)
-		p.in.group.mu.Lock()
-		defer p.in.group.mu.Unlock()
-		return p.fail("BUSY")
+		return p.busy()
 	}
 	defer p.in.busy.Add(-1)
 	p.in.slots <- struct{}{}
@@ -226,6 +231,21 @@
 	return p.run(id, text)
 }
 
+// busy refuses a statement for want of a slot.
+func (p *peer) busy() bool {
+	p.in.refused.Add(1)
+	p.in.group.mu.Lock()
+	defer p.in.group.mu.Unlock()
+	return p.fail("BUSY")
+}
+
+// Conns returns the number of connections that are open.
+func (in *Instance) Conns() int {
+	in.group.mu.Lock()
+	defer in.group.mu.Unlock()
+	return len(in.conns)
+}
+
 // Load returns the number of statements that took a slot so far, and of those that found none.
 func (in *Instance) Load() (ran, refused int64) { return in.ran.Load(), in.refused.Load() }
 
--- a/internal/traffic/desk/lend.go
+++ b/internal/traffic/desk/lend.go
@@ -43,19 +43,25 @@
 	return n
 }
 
-// maxDirect is the number of hosts up to which each holds connections of its own. Opening one
-// takes 12 ms of a slot, so that more hosts that start together keep an instance busy for
-// 100 ms; and with more hosts than that none of them sees enough of an instance's load.
+// maxDirect is the number of hosts up to which each holds connections of its own where no control
+// host lends. Opening one takes 12 ms of a slot, so that more hosts that start together keep an
+// instance busy for 100 ms; and with more hosts none sees enough of an instance's load.
 const maxDirect = 16
 
-// lend settles which hosts hold connections to which instances. Where an instance accepts at
-// least one connection from each host, and they are not many, all do; else a few hosts hold
-// them for the others.
+// lent reports whether a few hosts hold the connections to an instance for all: where control hosts
+// can, however few entry hosts there are, since one place then orders what an instance gets and
+// knows how many connections it has; else where there are too few connections or too many hosts.
+func lent(room int, hosts []place.Peer) bool {
+	n := weak(hosts)
+	return n < len(hosts) || n > maxDirect || pool.Room(room) < n
+}
+
+// lend settles which hosts hold connections to which instances: a few for all, or each its own.
 func (d *Desk) lend(p *Plan, hosts []place.Peer) {
 	var spots []place.Spot
 	for _, g := range p.Groups {
 		for _, m := range g.Members {
-			if n := weak(hosts); n > maxDirect || pool.Room(m.room) < n {
+			if lent(m.room, hosts) {
 				spots = append(spots, place.Spot{Instance: m.Instance, Center: m.center})
 			}
 		}
@@ -108,6 +114,7 @@
 		}
 		m.lenders = nil
 		m.Guard()
+		m.Standby(i > 0)
 		m.Resize(m.room, shares[i])
 		return
 	}
@@ -125,11 +132,7 @@
 
 // Own opens the use of a connection of this host.
 func (m *Member) Own(ctx context.Context, patience time.Duration, rank int) (pool.Unit, error) {
-	c, err := m.Get(ctx, patience, rank)
-	if err != nil {
-		return nil, err
-	}
-	return c, nil
+	return m.Unit(ctx, patience, rank)
 }
 
 // Open opens the use of a connection to the instance, of this host or of another one.
--- a/internal/traffic/pool/conn.go
+++ b/internal/traffic/pool/conn.go
@@ -152,6 +152,24 @@
 
 // Run implements Unit. What is set or prepared beforehand takes no slot.
 func (c *Conn) Run(limit time.Duration, values flow.Values, q flow.Request, _ bool) (flow.Answer, flow.Stage, error) {
+	began := c.server.Now()
+	t := ticket(c.rank, c.pinned, c.until)
+	switch {
+	case c.pinned:
+		t.Deadline = began.Add(limit)
+	case opens(q.Op):
+		t = opening(c.rank, c.until)
+	}
+	leave, ok := c.server.admit(t, q.Op)
+	if !ok {
+		return c.server.crowded(c.state()), flow.Answered, nil
+	}
+	defer leave()
+	return c.run(limit-c.server.Now().Sub(began), values, q)
+}
+
+// run runs a request that has its place at the instance.
+func (c *Conn) run(limit time.Duration, values flow.Values, q flow.Request) (flow.Answer, flow.Stage, error) {
 	if q.Op == flow.Look {
 		return c.ask(limit, flow.Request{Op: flow.OpenRead}, flow.Request{Op: flow.Undo})
 	}
@@ -160,12 +178,6 @@
 			return flow.Answer{}, flow.Unsent, err
 		}
 	}
-	waited, leave, ok := c.enter(limit, q.Op)
-	if !ok {
-		return flow.Answer{Code: flow.Crowded, Text: c.server.Instance, State: c.state()}, flow.Answered, nil
-	}
-	defer leave()
-	limit -= waited
 	if q.Op != flow.Run {
 		return c.ask(limit, q)
 	}
@@ -174,29 +186,6 @@
 	return c.ask(limit, append(before, q)...)
 }
 
-// enter waits until the request may be sent, where this host orders what it sends to the
-// instance. It reports false where that would be too late; else leave must be called.
-func (c *Conn) enter(limit time.Duration, op flow.Op) (waited time.Duration, leave func(), ok bool) {
-	g := c.server.guard()
-	if g == nil || !takesSlot(op) && !opens(op) {
-		return 0, func() {}, true
-	}
-	began := c.server.Now()
-	t := ticket(c.rank, c.pinned, c.until)
-	switch {
-	case c.pinned:
-		t.Deadline = began.Add(limit)
-	case opens(op):
-		t = opening(c.rank, c.until)
-	}
-	leave, ok = g.enter(t)
-	if ok && opens(op) {
-		leave()
-		leave = func() {}
-	}
-	return c.server.Now().Sub(began), leave, ok
-}
-
 // state returns the state of the connection after the last answer.
 func (c *Conn) state() flow.State {
 	if c.pinned {
--- a/internal/traffic/pool/gate.go
+++ b/internal/traffic/pool/gate.go
@@ -90,6 +90,26 @@
 	}
 }
 
+// admit waits until a request may be sent, where this host orders what it sends to the instance.
+// It reports false where that would be too late; else leave must be called after the answer.
+func (s *Server) admit(t queue.Ticket, op flow.Op) (leave func(), ok bool) {
+	g := s.guard()
+	if g == nil || !takesSlot(op) && !opens(op) {
+		return func() {}, true
+	}
+	leave, ok = g.enter(t)
+	if ok && opens(op) {
+		leave()
+		leave = func() {}
+	}
+	return leave, ok
+}
+
+// crowded is the answer to a request that would not get its slot in time.
+func (s *Server) crowded(state flow.State) flow.Answer {
+	return flow.Answer{Code: flow.Crowded, Text: s.Instance, State: state}
+}
+
 // leave gives the slot of a ticket, or its place in line, to others.
 func (g *gate) leave(id uint64) {
 	g.mu.Lock()
--- a/internal/traffic/pool/pool.go
+++ b/internal/traffic/pool/pool.go
@@ -26,6 +26,9 @@
 	silentAfter = 200 * time.Millisecond
 	// surplusIdle is how long a connection over the host's share stays open without use.
 	surplusIdle = 600 * time.Millisecond
+	// restIdle is how long one within the share does, but for as many as the instance runs at
+	// once. An instance keeps those of a host that lost its power for 3 s, beside the new ones.
+	restIdle = 2 * time.Second
 	// scarceFor is how long a host keeps to its share after it started. Connections of hosts
 	// that lost their power stay at the instance for 3 s.
 	scarceFor = 4 * time.Second
@@ -80,6 +83,7 @@
 	share   int
 	full    time.Time
 	scarce  time.Time
+	standby bool
 	down    bool
 	probing bool
 	failed  time.Time
@@ -119,6 +123,14 @@
 	s.share = share
 }
 
+// Standby makes this host keep its connections for when others can't reach the instance: after
+// a start of its own it opens none ahead while room may be scarce.
+func (s *Server) Standby(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.standby = on
+}
+
 // Guard makes this host order what it sends to the instance, since most of it comes this way.
 func (s *Server) Guard() {
 	if s.gate.Load() == nil {
@@ -332,12 +344,12 @@
 	if s.pending > 0 && now.Sub(s.silent) > silentAfter {
 		s.suspect(s.silent)
 	}
-	for s.open > s.share && len(s.idle) > 0 && now.Sub(s.idle[0].parked) > surplusIdle {
+	for len(s.idle) > 0 && s.spares(now.Sub(s.idle[0].parked)) {
 		s.idle[0].raw.Close()
 		s.idle = s.idle[1:]
 		s.open--
 	}
-	if s.share == 0 {
+	if s.share == 0 || s.standby && now.Before(s.scarce) {
 		return
 	}
 	if s.open+s.dialing == 0 && !s.down && !s.probing && !now.Before(s.full) {
@@ -347,6 +359,15 @@
 	s.extend(now)
 }
 
+// spares reports whether a connection may be closed that has rested for some time. The caller
+// holds mu.
+func (s *Server) spares(rested time.Duration) bool {
+	if s.open > s.share {
+		return rested > surplusIdle
+	}
+	return s.open > s.Slots+gateAhead && rested > restIdle
+}
+
 // Shut closes idle connections and lets the others end with their work.
 func (s *Server) Shut() {
 	s.mu.Lock()
