leader: Let lenders report on primaries; count a busy primary as alive

A primary that replicas left with all reads answered BUSY for 1.5 s and was replaced, which cut 15 acknowledged commits back; a primary that had failed stayed for 1.4 s instead of 0.5 s. Change: control hosts report as entry hosts do; an instance that answers without room for the question is alive. Ruled out: the replacement as a cure for overload. Both tests failed before.

--- a/internal/control/leader/leader__replace.go
+++ b/internal/control/leader/leader__replace.go
@@ -30,6 +30,10 @@
 // fencing token is outdated, or the instance does not run.
 var ErrDeclined = errors.New("platform refused the promotion")
 
+// ErrOccupied is returned by Platform.Ask for an instance that answers, but has no room for the
+// question: it is alive, and nothing is known of its position.
+var ErrOccupied = errors.New("instance has no room for a question")
+
 // Instance is where the leader finds an instance of a group.
 type Instance struct {
 	Group string
@@ -143,7 +147,7 @@
 		}
 	}
 	if well+failed > 0 {
-		delete(l.absent, r.Name+" "+r.Group.Primary)
+		delete(l.absent, blindKey(r.Name, r.Group.Primary))
 		return failed > well
 	}
 	return l.blind(ctx, now, r, instances)
@@ -151,7 +155,7 @@
 
 // blind asks the primary itself, and reports whether it has left that unanswered for long.
 func (l *Leader) blind(ctx context.Context, now time.Time, r *wire.Resource, instances []*wire.Resource) bool {
-	key := r.Name + " " + r.Group.Primary
+	key := blindKey(r.Name, r.Group.Primary)
 	seen := l.sights[r.Name][r.Group.Primary].Asked
 	since, known := l.absent[key]
 	if !known || seen.After(since) {
@@ -197,6 +201,10 @@
 		defer cancel()
 		asked := l.Now()
 		sight, err := l.Platform.Ask(ctx, in, q)
+		if errors.Is(err, ErrOccupied) {
+			l.alive(term, in, asked)
+			return
+		}
 		if err != nil {
 			l.Log.WithError(err).WithField("instance", in.Name).Debug("instance does not answer")
 			return
@@ -214,6 +222,19 @@
 	})
 }
 
+// alive takes note of an instance that answered a question of a term: overload alone is no reason
+// to replace a primary.
+func (l *Leader) alive(term uint64, in Instance, asked time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.term == term {
+		l.absent[blindKey(in.Group, in.Name)] = asked
+	}
+}
+
+// blindKey names a primary that the leader itself watches.
+func blindKey(group, primary string) string { return group + " " + primary }
+
 // promote sends an order under its fencing token once. It must still lead by its own lease:
 // a control host that was replaced orders nothing. The caller holds mu.
 func (l *Leader) promote(ctx context.Context, name string, a group.Order, instances []*wire.Resource) {
--- a/internal/tools/node/path_integration_test.go
+++ b/internal/tools/node/path_integration_test.go
@@ -183,6 +183,27 @@
 	}
 }
 
+// TestBusyPrimaryIsKept plays scale-1 of juguetoteca-uy: replicas that lag leave all reads to a
+// primary, which has no slot for the leader's own questions either.
+func TestBusyPrimaryIsKept(t *testing.T) {
+	Convey("Given a primary that refuses every statement for want of a slot, and no statements", t, func() {
+		c := start(t, 3, 1, false)
+		c.serve(1)
+		first := c.group.Leader()
+		c.group.Instance(first).Occupy(true)
+		// Twice as long as the leader waits for an answer of a primary that nobody uses.
+		time.Sleep(4 * time.Second)
+		So(c.group.Leader(), ShouldEqual, first)
+		Convey("It goes on once it has slots again", func() {
+			c.group.Instance(first).Occupy(false)
+			s, err := dial(c.front(0), "orders")
+			So(err, ShouldBeNil)
+			defer s.Close()
+			So(s.ask("WRITE again 1").ok(), ShouldBeTrue)
+		})
+	})
+}
+
 func TestRollingStopOnThePlatform(t *testing.T) {
 	Convey("Given a load, an entry host that is stopped cuts off no request", t, func() {
 		c := start(t, 3, 2, false)
--- a/internal/traffic/desk/desk.go
+++ b/internal/traffic/desk/desk.go
@@ -62,15 +62,17 @@
 	// Now returns the present time; it is a seam for tests.
 	Now func() time.Time
 
-	plan    atomic.Pointer[Plan]
-	mu      sync.Mutex
-	servers map[string]*Member
-	books   map[string]*book
-	opinion map[string]bool
-	source  *wire.Resource
-	parsed  spec.Manifest
-	named   map[string]spec.Database
-	looks   sync.WaitGroup
+	plan atomic.Pointer[Plan]
+	// informed is closed with the first plan that has a manifest.
+	informed chan struct{}
+	mu       sync.Mutex
+	servers  map[string]*Member
+	books    map[string]*book
+	opinion  map[string]bool
+	source   *wire.Resource
+	parsed   spec.Manifest
+	named    map[string]spec.Database
+	looks    sync.WaitGroup
 }
 
 // Plan is what the host does at a revision. It is immutable.
@@ -147,12 +149,14 @@
 	d.books = map[string]*book{}
 	d.opinion = map[string]bool{}
 	d.plan.Store(&Plan{})
+	d.informed = make(chan struct{})
 	d.Agent.Learned = d.learn
-	if !d.Lends {
-		d.Agent.Suspects = d.Opinions
-	}
+	d.Agent.Suspects = d.Opinions
 }
 
+// Informed returns a channel that is closed once the host knows the declared databases.
+func (d *Desk) Informed() <-chan struct{} { return d.informed }
+
 // Plan returns what the host does now.
 func (d *Desk) Plan() *Plan { return d.plan.Load() }
 
@@ -228,7 +232,11 @@
 			delete(d.servers, name)
 		}
 	}
+	first := d.Plan().Number == 0 && p.Number > 0
 	d.plan.Store(p)
+	if first {
+		close(d.informed)
+	}
 	d.Meter.Set("plan.number", int64(p.Number))
 }
 
--- a/internal/traffic/desk/desk_test.go
+++ b/internal/traffic/desk/desk_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"testing"
 	"time"
@@ -87,3 +88,39 @@
 		So(<-served, ShouldBeNil)
 	})
 }
+
+// TestLendersReportOnPrimaries: a control host that lends its connections is the one that uses
+// the primary, so that it tells the leader of a failure, and of an answer just as well.
+func TestLendersReportOnPrimaries(t *testing.T) {
+	Convey("Given a control host that lends connections to a primary out of reach", t, func() {
+		a := &agent.Agent{Peers: []conf.Peer{{Link: "127.0.0.1:1"}}, Log: logs.Discard(), Meter: meter.New(), Now: clock.Boot}
+		a.Prepare()
+		now := time.Unix(1000, 0)
+		d := &desk.Desk{
+			Host: "core", Center: "a", Lends: true, Agent: a, Log: logs.Discard(), Meter: meter.New(), Now: func() time.Time { return now },
+			Borrow: func(string, string, string, int, time.Duration) (pool.Unit, error) { return nil, errors.New("unused") },
+		}
+		d.Open = func(group, instance, addr string, _ bool, slots int) *pool.Server {
+			return &pool.Server{
+				Group: group, Instance: instance, Addr: addr, Slots: slots, Log: logs.Discard(), Meter: meter.New(), Now: d.Now,
+				Dial: func(context.Context, string) (net.Conn, error) { return nil, errors.New("out of reach") },
+			}
+		}
+		d.Prepare()
+		m := spec.Manifest{Number: 1, Groups: []spec.Cluster{{Name: "g", Connections: 20}}}
+		a.Learned(agent.NewView(1, []*wire.Resource{
+			{Kind: string(spec.Manifests), Name: spec.Current, Version: 1, Revision: 1, Spec: m.Encode()},
+			{Kind: string(spec.Groups), Name: "g", Revision: 1, Group: &wire.GroupRun{Term: 2, Phase: wire.Phase_OPEN, Primary: "i"}},
+			{Kind: string(spec.Backends), Name: "i", Revision: 1, Backend: &wire.BackendRun{Group: "g", Addr: "h:1", Center: "a", Slots: 2}},
+			{Kind: string(spec.Hosts), Name: "core", Revision: 1, Host: &wire.HostRun{Center: "a", Roles: []string{string(conf.Control)}}},
+		}))
+		_, err := d.Find("g", "i").Get(t.Context(), time.Second, 1)
+		So(err, ShouldNotBeNil)
+		So(a.Suspects(now), ShouldBeEmpty)
+		now = now.Add(time.Second)
+		list := a.Suspects(now)
+		So(list, ShouldHaveLength, 1)
+		So(list[0].Primary, ShouldEqual, "i")
+		So(list[0].Well, ShouldBeFalse)
+	})
+}
