front: Hold openings after a start until the declared databases are known

Change: an opening waits up to 700 ms for the first manifest (callers wait 2 s); a host that is told who leads asks that host at once instead of after 50 ms, but not twice in a row. Ruled out: serving by what was known before the restart, since a declaration may have replaced it.

--- a/internal/control/agent/agent.go
+++ b/internal/control/agent/agent.go
@@ -100,12 +100,18 @@
 func (a *Agent) Run(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
 	go func() {
+		redirected := false
 		for ctx.Err() == nil {
-			if err := a.stream(ctx); err != nil && ctx.Err() == nil {
+			err := a.stream(ctx)
+			if err != nil && ctx.Err() == nil {
 				a.Log.WithError(err).Debug("lease stream ended")
 				a.Meter.Add("lease.streams", 1)
 			}
-			clock.Sleep(ctx, retryPause)
+			// A leader that was named is asked at once, but not one that it names in turn.
+			redirected = !redirected && errors.Is(err, errRedirect)
+			if !redirected {
+				clock.Sleep(ctx, retryPause)
+			}
 		}
 		done <- nil
 	}()
--- a/internal/control/agent/agent_test.go
+++ b/internal/control/agent/agent_test.go
@@ -85,3 +85,42 @@
 		So(n, ShouldEqual, 3)
 	})
 }
+
+// TestRedirectsDoNotSpin: a leader that a control host names is asked at once, but two that name
+// each other are asked no more often than one that names nobody.
+func TestRedirectsDoNotSpin(t *testing.T) {
+	Convey("Given control hosts that name each other as leaders", t, func() {
+		ctx, cancel := context.WithCancel(t.Context())
+		var streams atomic.Int64
+		var lns [2]net.Listener
+		var served [2]<-chan error
+		for i := range lns {
+			var err error
+			lns[i], err = net.Listen("tcp", "127.0.0.1:0")
+			So(err, ShouldBeNil)
+		}
+		for i := range lns {
+			other := lns[1-i].Addr().String()
+			served[i] = (&link.Server{Listener: lns[i], Handlers: map[string]link.Handler{leader.LeaseService: func(_ context.Context, _ string, c *link.Conn) {
+				streams.Add(1)
+				if c.Recv(&wire.Renew{}) == nil {
+					_ = c.Send(&wire.Grant{Reason: string(fault.NoLeader), Leader: other})
+				}
+			}}}).Run(ctx)
+		}
+		a := &agent.Agent{
+			Host: "h", Record: &wire.HostRun{}, Peers: []conf.Peer{{Link: lns[0].Addr().String()}}, Renew: 20 * time.Millisecond,
+			Dialer: &link.Dialer{Host: "h"}, Log: logs.Discard(), Meter: meter.New(), Now: clock.Boot,
+		}
+		a.Prepare()
+		done := a.Run(ctx)
+		time.Sleep(500 * time.Millisecond)
+		cancel()
+		So(<-done, ShouldBeNil)
+		a.Dialer.Close()
+		So(<-served[0], ShouldBeNil)
+		So(<-served[1], ShouldBeNil)
+		// Two streams for each pause of 50 ms, and the first ones.
+		So(streams.Load(), ShouldBeLessThanOrEqualTo, 24)
+	})
+}
--- a/internal/tools/node/traffic.go
+++ b/internal/tools/node/traffic.go
@@ -59,7 +59,7 @@
 	broker := &sess.Broker{Desk: t.desk, Costs: route.DefaultCosts(), Log: n.Log, Lines: sess.NewBudget(), Meter: n.Meter, Now: clock.Boot}
 	t.front = &front.Server{
 		Addr: n.cfg.Listen.Callers, Codec: platform.CallerCodec(), Broker: broker, Log: n.Log, Meter: n.Meter, Now: clock.Boot,
-		Serves: func(time.Time) bool { return t.desk.Plan().Number > 0 }, Unfit: t.desk.Unfit, Quiet: balancerNotices,
+		Serves: func(time.Time) bool { return t.desk.Plan().Number > 0 }, Informed: t.desk.Informed(), Unfit: t.desk.Unfit, Quiet: balancerNotices,
 		Patience: time.Duration(transactionShare * float64(n.cfg.Grace())),
 	}
 }
--- a/internal/traffic/front/caller.go
+++ b/internal/traffic/front/caller.go
@@ -1,12 +1,14 @@
 package front
 
 import (
+	"context"
 	"errors"
 	"sync"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
 
+	"github.com/agatespindle/agatespindle/internal/base/clock"
 	"github.com/agatespindle/agatespindle/internal/traffic/flow"
 	"github.com/agatespindle/agatespindle/internal/traffic/sess"
 )
@@ -98,10 +100,24 @@
 	return nil, gnet.None
 }
 
+// open opens a session. A host that has just started holds the opening for a moment: it learns
+// the declared databases soon, and other hosts may have started with it.
 func (c *caller) open(now time.Time, o *Opening) ([]byte, gnet.Action) {
 	if c.session != nil {
 		return nil, gnet.Close
 	}
+	if c.srv.Serves(now) || c.srv.Informed == nil {
+		return c.begin(now, o)
+	}
+	c.srv.Meter.Add("callers.held", 1)
+	c.busy = true
+	c.srv.wg.Add(1)
+	go c.await(*o)
+	return nil, gnet.None
+}
+
+// begin opens a session, or says why there is none. The caller holds mu.
+func (c *caller) begin(now time.Time, o *Opening) ([]byte, gnet.Action) {
 	if !c.srv.Serves(now) {
 		c.srv.Meter.Add("refused.notready", 1)
 		return c.srv.Codec.Welcome(nil, flow.Refuse(flow.Busy, flow.Idle, "host is not ready")), gnet.Close
@@ -115,6 +131,18 @@
 	return c.srv.Codec.Welcome(nil, flow.Done(flow.Idle)), gnet.None
 }
 
+// await answers an opening once the host knows the declared databases, or after openingWait.
+func (c *caller) await(o Opening) {
+	defer c.srv.wg.Done()
+	ctx, cancel := context.WithTimeout(c.srv.ctx, openingWait)
+	defer cancel()
+	clock.Await(ctx, c.srv.Informed)
+	c.mu.Lock()
+	out, act := c.begin(c.srv.Now(), &o)
+	c.mu.Unlock()
+	c.reply(out, act)
+}
+
 // run runs one statement in a goroutine of its own.
 func (c *caller) run(st flow.Statement) {
 	defer c.srv.wg.Done()
@@ -122,6 +150,13 @@
 	c.mu.Lock()
 	c.out = c.srv.Codec.Put(c.out[:0], a)
 	out := c.out
+	c.mu.Unlock()
+	c.reply(out, gnet.None)
+}
+
+// reply sends an answer and lets the next message in, or ends the connection.
+func (c *caller) reply(out []byte, act gnet.Action) {
+	c.mu.Lock()
 	closed := c.closed
 	c.mu.Unlock()
 	if closed {
@@ -130,7 +165,7 @@
 	}
 	err := c.conn.AsyncWrite(out, func(gnet.Conn, error) error {
 		c.finish()
-		if c.traffic(c.srv.Now()) == gnet.Close {
+		if act == gnet.Close || c.traffic(c.srv.Now()) == gnet.Close {
 			return c.conn.Close()
 		}
 		return nil
--- a/internal/traffic/front/front.go
+++ b/internal/traffic/front/front.go
@@ -22,6 +22,10 @@
 	// restBefore is the least age of a session that is closed on an unfit host; a caller that
 	// the balancer sends here all the same is not turned away over and over.
 	restBefore = time.Second
+	// openingWait is how long an opening is held that comes before the host knows the declared
+	// databases. Control is there within half a second of a restart of all hosts, and callers
+	// wait for 2 s.
+	openingWait = 700 * time.Millisecond
 	// sweepInterval is the time between two looks at resting transactions.
 	sweepInterval = 250 * time.Millisecond
 )
@@ -64,6 +68,8 @@
 	Meter  *meter.Meter
 	// Serves reports whether sessions may be opened.
 	Serves func(now time.Time) bool
+	// Informed, where set, is closed once sessions can be opened; openings before that are held.
+	Informed <-chan struct{}
 	// Unfit, where set, reports whether callers are better served by other hosts for now: then
 	// idle sessions are closed, so that their callers connect anew through the balancer.
 	Unfit func(now time.Time) bool
--- a/internal/traffic/front/front_test.go
+++ b/internal/traffic/front/front_test.go
@@ -37,7 +37,7 @@
 	unfit *atomic.Bool
 }
 
-func startHost(t *testing.T) host {
+func startHost(t *testing.T, changes ...func(*front.Server)) host {
 	t.Helper()
 	a := &agent.Agent{Peers: []conf.Peer{{Link: "127.0.0.1:1"}}, Log: logs.Discard(), Meter: meter.New(), Now: clock.Boot}
 	a.Prepare()
@@ -52,6 +52,9 @@
 	}
 	unfit := &atomic.Bool{}
 	s.Unfit = func(time.Time) bool { return unfit.Load() }
+	for _, change := range changes {
+		change(s)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done, err := s.Run(ctx)
 	if err != nil {
@@ -141,6 +144,39 @@
 	})
 }
 
+// TestOpeningsAreHeldAfterAStart plays the restart of all hosts at the end of scale-1 of
+// juguetoteca-uy: every host that a caller could turn to has just started as well.
+func TestOpeningsAreHeldAfterAStart(t *testing.T) {
+	Convey("Given a host that does not know the declared databases yet", t, func() {
+		informed := make(chan struct{})
+		var serves atomic.Bool
+		h := startHost(t, func(s *front.Server) {
+			s.Informed = informed
+			s.Serves = func(time.Time) bool { return serves.Load() }
+		})
+		defer h.stop()
+		c := openSession(h.Addr)
+		defer c.Close()
+		fmt.Fprint(c, "QUERY 1 SET a 1\r\n")
+		r := bufio.NewReader(c)
+		_ = c.SetDeadline(time.Now().Add(answerWithin))
+		Convey("An opening waits for them, and what follows it does too", func() {
+			serves.Store(true)
+			close(informed)
+			for _, want := range []string{"READY I -\r\n", "DONE -\r\n"} {
+				line, err := r.ReadString('\n')
+				So(err, ShouldBeNil)
+				So(line, ShouldEqual, want)
+			}
+		})
+		Convey("One that waits in vain is refused before its caller gives up", func() {
+			line, err := r.ReadString('\n')
+			So(err, ShouldBeNil)
+			So(line, ShouldStartWith, "ERR BUSY")
+		})
+	})
+}
+
 func openSession(addr string) net.Conn {
 	c, err := net.Dial("tcp", addr)
 	So(err, ShouldBeNil)
