sess: Leave half of the goal for the statement itself

Cause: a statement that got its place just before its caller's goal was answered after it. Change: a statement waits for half of the goal at most, and is refused at once where its turn would come later.

--- a/internal/traffic/sess/sess.go
+++ b/internal/traffic/sess/sess.go
@@ -29,6 +29,9 @@
 	setupLimit = 400 * time.Millisecond
 	// leastWait is the least time that a statement may wait for a connection.
 	leastWait = 100 * time.Millisecond
+	// waitShare is the part of the time that callers expect that a statement may wait for its
+	// slot; the rest is for the statement itself and for the way to the caller and back.
+	waitShare = 2
 	// renewShare is the part of the age that a read allows after which a position is renewed.
 	renewShare = 3
 )
--- a/internal/traffic/sess/single.go
+++ b/internal/traffic/sess/single.go
@@ -218,7 +218,7 @@
 // time that callers expect, after which a refusal serves them better.
 func (a *attempt) patience() time.Duration {
 	now := a.s.b.Now()
-	return min(a.left(now), max(leastWait, a.db.Goal-now.Sub(a.began)))
+	return min(a.left(now), max(leastWait, a.db.Goal/waitShare-now.Sub(a.began)))
 }
 
 // limit is how long the statement may wait for its answer. A read that stays unanswered is
