driver: Leave the quorum while the disk refuses writes instead of ending the process

Change: the host steps down, answers that what was proposed may have run and refuses what comes, and tries every 250 ms to read its log and write it to a new segment, so that nothing counts as durable that a failed sync left in memory; then it votes again as after a restart. control.disk.failed shows it. A disk that only stalls blocks the log as before: leases end by time. Ruled out: going on with the old segment once a sync succeeds; the pages of the failed one may be dropped while marked clean.

--- a/internal/control/driver/driver.go
+++ b/internal/control/driver/driver.go
@@ -118,28 +118,16 @@
 	d.waiting = map[uint64]waiter{}
 	d.asked = map[uint64]chan answer{}
 	d.senders = map[string]*sender{}
-	d.state = state.New()
-	if len(d.Restored.Snapshot.Data) > 0 {
-		s, err := state.Restore(d.Restored.Snapshot.Data)
-		if err != nil {
-			return fmt.Errorf("restore state: %w", err)
-		}
-		d.state = s
-	}
-	d.state.Skip(d.Restored.Snapshot.Index)
-	d.lastCut = d.Restored.Snapshot.Index
 	d.Options.ID = d.ID
-	d.core = quorum.New(d.Now(), d.Options, d.Restored)
-	d.publish()
-	return nil
+	return d.resume()
 }
 
-// Run serves until ctx ends or the disk fails; the end is reported on the channel.
+// Run serves until ctx ends; the end is reported on the channel.
 func (d *Driver) Run(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
 	go func() {
 		ctx, cancel := context.WithCancel(ctx)
-		err := d.loop(ctx)
+		err := d.run(ctx)
 		cancel()
 		d.wg.Wait()
 		d.Store.Close()
--- a/internal/control/store/store.go
+++ b/internal/control/store/store.go
@@ -27,7 +27,7 @@
 )
 
 // Store is the log of one control host on disk. It is not safe for concurrent use.
-// After an error it must not be used again: what is on disk is unknown.
+// After an error it refuses everything until it was reopened: what is on disk is unknown.
 type Store struct {
 	// Sync is a seam for tests; it puts a file's content on disk.
 	Sync func(*os.File) error
@@ -152,6 +152,23 @@
 	return s.broken
 }
 
+// Failed returns the error of the write that failed, nil where none did.
+func (s *Store) Failed() error { return s.broken }
+
+// Reopen reads the log again after a failed write, and writes all of it to a new segment: what the
+// failed write left may be in the system's memory only. It returns what the log holds.
+func (s *Store) Reopen() (quorum.Restored, error) {
+	s.segment.Close()
+	s.saved, s.broken = quorum.Restored{}, nil
+	if err := s.load(); err != nil {
+		return quorum.Restored{}, s.fail(err, "read log again")
+	}
+	if err := s.rewrite(); err != nil {
+		return quorum.Restored{}, err
+	}
+	return s.saved, nil
+}
+
 // Install puts a snapshot on disk and drops the log before it. It serves for snapshots of
 // the leader and for those of this host's own state.
 func (s *Store) Install(snap quorum.Snapshot) error {
@@ -251,6 +268,8 @@
 		err = closeErr
 	}
 	if err != nil {
+		// What a full disk took of it must not keep the next try from having room.
+		_ = os.Remove(part)
 		return err
 	}
 	if err := os.Rename(part, s.path(name)); err != nil {
--- a/internal/control/store/store_test.go
+++ b/internal/control/store/store_test.go
@@ -170,3 +170,40 @@
 		}
 	})
 }
+
+// TestReopen plays a disk that was full for a while.
+func TestReopen(t *testing.T) {
+	Convey("Given a log whose last write failed", t, func() {
+		dir := t.TempDir()
+		s, _ := open(dir)
+		So(s.Save(quorum.Save{Term: 1, Vote: "a", Entries: entries(1, 3, 1)}), ShouldBeNil)
+		refuses := true
+		s.Sync = func(f *os.File) error {
+			if refuses {
+				return errors.New("no space left")
+			}
+			return f.Sync()
+		}
+		So(s.Save(quorum.Save{Term: 2, Vote: "b"}), ShouldNotBeNil)
+		So(s.Failed(), ShouldNotBeNil)
+		Convey("It stays refused while the disk refuses, and leaves no half file", func() {
+			_, err := s.Reopen()
+			So(err, ShouldNotBeNil)
+			So(s.Save(quorum.Save{Term: 3}), ShouldNotBeNil)
+			_, err = os.Stat(filepath.Join(dir, "segment.part"))
+			So(os.IsNotExist(err), ShouldBeTrue)
+		})
+		Convey("Then it holds what was acknowledged, on a new segment, and takes writes", func() {
+			_, _ = s.Reopen()
+			refuses = false
+			r, err := s.Reopen()
+			So(err, ShouldBeNil)
+			So(r.Entries, ShouldHaveLength, 3)
+			So(s.Save(quorum.Save{Term: 4, Vote: "c", Entries: entries(4, 4, 4)}), ShouldBeNil)
+			s.Close()
+			_, r = open(dir)
+			So(r.Term, ShouldEqual, 4)
+			So(r.Entries, ShouldHaveLength, 4)
+		})
+	})
+}
