leader: Gather changes for a host; place: Keep the choice of lenders until it changes

Ruled out: a pause before each message, which would slow every step of a failover; control hosts only as lenders, since entry hosts carry on when all control hosts are killed at once.

--- a/internal/control/leader/leader__lease.go
+++ b/internal/control/leader/leader__lease.go
@@ -17,7 +17,13 @@
 // LeaseService is the name of the stream on which a host renews its lease and gets changes.
 const LeaseService = "lease"
 
-const grantLimit = 2 * time.Second
+const (
+	grantLimit = 2 * time.Second
+	// gatherFor is the least time between two messages that tell a host of changes. Where hundreds
+	// of hosts join within a second, each is told of the others some fifty times a second instead of
+	// once for each; a change that comes alone is told at once.
+	gatherFor = 20 * time.Millisecond
+)
 
 // feed is the leader's side of one host's lease stream.
 type feed struct {
@@ -29,8 +35,13 @@
 	// control are the addresses of the control hosts that the host was told.
 	control []string
 	full    bool
+	// pushed is when the host was last told of changes.
+	pushed time.Time
 }
 
+// rest returns how long the next changes are gathered before the host is told.
+func (f *feed) rest(now time.Time) time.Duration { return f.pushed.Add(gatherFor).Sub(now) }
+
 // ServeLease serves a host's lease stream; it is a link.Handler.
 func (l *Leader) ServeLease(ctx context.Context, host string, c *link.Conn) {
 	f := &feed{conn: c, host: host, full: true}
@@ -43,7 +54,13 @@
 	}()
 	for {
 		changed, raised := l.Driver.Changes(), l.inForceRaised()
-		if !f.full && l.push(f) != nil {
+		var gathered <-chan time.Time
+		rest := f.rest(l.Now())
+		switch {
+		case rest > 0:
+			changed, raised = nil, nil
+			gathered = time.After(rest)
+		case !f.full && l.push(f) != nil:
 			return
 		}
 		select {
@@ -55,6 +72,7 @@
 			}
 		case <-changed:
 		case <-raised:
+		case <-gathered:
 		}
 	}
 }
@@ -156,6 +174,8 @@
 	if g.Revision <= f.sent && g.Inforce <= f.inforce && len(g.Changes) == 0 && len(g.Control) == 0 && !g.Reset_ {
 		return nil
 	}
+	f.pushed = l.Now()
+	l.Meter.Add("lease.pushes", 1)
 	return f.send(g)
 }
 
--- /dev/null
+++ b/internal/control/leader/leader_test.go
@@ -0,0 +1,115 @@
+package leader_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/agatespindle/agatespindle/internal/base/clock"
+	"github.com/agatespindle/agatespindle/internal/base/link"
+	"github.com/agatespindle/agatespindle/internal/base/logs"
+	"github.com/agatespindle/agatespindle/internal/base/meter"
+	"github.com/agatespindle/agatespindle/internal/base/wire"
+	"github.com/agatespindle/agatespindle/internal/control/driver"
+	"github.com/agatespindle/agatespindle/internal/control/leader"
+	"github.com/agatespindle/agatespindle/internal/control/quorum"
+	"github.com/agatespindle/agatespindle/internal/control/store"
+)
+
+// joins is the number of hosts that start together, as in the large deployment.
+const joins = 300
+
+// start runs a leader that is a quorum by itself, and returns where hosts reach it.
+func start(t *testing.T, ctx context.Context) (*leader.Leader, string) {
+	s, restored, err := store.Open(t.TempDir())
+	So(err, ShouldBeNil)
+	id, restored, err := driver.Founding{Addr: "h:1", Seeds: []string{"h:1"}, First: true}.Settle(s, restored)
+	So(err, ShouldBeNil)
+	d := &driver.Driver{
+		ID: id, Store: s, Restored: restored, Dialer: &link.Dialer{Host: "core"}, Log: logs.Discard(), Meter: meter.New(), Now: clock.Boot,
+		Options: quorum.Options{Election: 20 * time.Millisecond, Beat: 5 * time.Millisecond, Jitter: func(time.Duration) time.Duration { return 0 }},
+	}
+	So(d.Prepare(), ShouldBeNil)
+	l := &leader.Leader{Driver: d, Log: logs.Discard(), Meter: meter.New(), Length: time.Second, Now: clock.Boot, Host: "core", Platform: &leader.Platform{}}
+	l.Prepare()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	ends := []<-chan error{
+		(&link.Server{Listener: ln, Handlers: map[string]link.Handler{leader.LeaseService: l.ServeLease}}).Run(ctx), l.Run(ctx), d.Run(ctx),
+	}
+	t.Cleanup(func() {
+		for _, end := range ends {
+			if err := <-end; err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	for end := time.Now().Add(10 * time.Second); !d.Status().Leading && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	return l, ln.Addr().String()
+}
+
+// TestChangesAreGathered plays the restart of all hosts of the large deployment: each that joins is
+// a change, and to tell each host of each one is 90,000 messages.
+func TestChangesAreGathered(t *testing.T) {
+	Convey("Given a host that follows the changes while hundreds of hosts join", t, func() {
+		ctx, cancel := context.WithCancel(t.Context())
+		t.Cleanup(cancel)
+		l, addr := start(t, ctx)
+		dialer := &link.Dialer{Host: "watcher"}
+		defer dialer.Close()
+		c, err := dialer.Open(ctx, addr, leader.LeaseService)
+		So(err, ShouldBeNil)
+		run := &wire.HostRun{Link: "w:1", Instance: "1"}
+		So(c.Send(&wire.Renew{Host: "watcher", Seq: 1, Run: run}), ShouldBeNil)
+		So(c.Recv(&wire.Grant{}), ShouldBeNil)
+		began := time.Now()
+		var wg sync.WaitGroup
+		for i := range joins {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				name := fmt.Sprint("e", i)
+				_, _ = l.Driver.Propose(ctx, &wire.Command{Body: &wire.Command_Join{Join: &wire.Join{Host: name, Run: &wire.HostRun{Link: name, Instance: "1"}}}})
+			}()
+		}
+		seen, messages := map[string]bool{}, 0
+		_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+		for len(seen) < joins {
+			g := &wire.Grant{}
+			So(c.Recv(g), ShouldBeNil)
+			messages++
+			for _, r := range g.Changes {
+				if r.Name != "watcher" {
+					seen[r.Name] = true
+				}
+			}
+		}
+		wg.Wait()
+		Convey("It is told of all of them, fifty times a second at most", func() {
+			So(messages, ShouldBeLessThanOrEqualTo, int(time.Since(began)/(20*time.Millisecond))+2)
+		})
+		Convey("A change that comes alone is told at once", func() {
+			time.Sleep(100 * time.Millisecond)
+			asked := time.Now()
+			go func() {
+				_, _ = l.Driver.Propose(ctx, &wire.Command{Body: &wire.Command_Join{Join: &wire.Join{Host: "late", Run: &wire.HostRun{Link: "late", Instance: "1"}}}})
+			}()
+			for found := false; !found; {
+				g := &wire.Grant{}
+				So(c.Recv(g), ShouldBeNil)
+				for _, r := range g.Changes {
+					found = found || r.Name == "late"
+				}
+			}
+			// In force within seconds is the promise; the gathering alone would be 20 ms.
+			So(time.Since(asked), ShouldBeLessThan, time.Second)
+		})
+	})
+}
--- a/internal/control/place/lenders_test.go
+++ b/internal/control/place/lenders_test.go
@@ -88,3 +88,38 @@
 		}
 	})
 }
+
+// TestLendersOfTheLargeDeployment checks the choice for 295 entry and 5 control hosts: every instance
+// has its control hosts first and no entry host holds more than two more instances than another.
+func TestLendersOfTheLargeDeployment(t *testing.T) {
+	var hosts []place.Peer
+	for i := range 295 {
+		hosts = append(hosts, place.Peer{Name: fmt.Sprint("e", i), Center: fmt.Sprint("c", i%5)})
+	}
+	for i := range 5 {
+		hosts = append(hosts, place.Peer{Name: fmt.Sprint("k", i), Center: fmt.Sprint("c", i), Strong: true})
+	}
+	var spots []place.Spot
+	for i := range 60 {
+		spots = append(spots, place.Spot{Instance: fmt.Sprint("i", i), Center: fmt.Sprint("c", i%3)})
+	}
+	held := map[string]int{}
+	for instance, list := range place.Lenders(spots, hosts) {
+		for n, h := range list {
+			if h.Strong != (n < 3) {
+				t.Fatalf("lender %d of %s is %+v", n, instance, h)
+			}
+			if !h.Strong {
+				held[h.Name]++
+			}
+		}
+		if len(list) < 5 || list[0].Center != list[3].Center {
+			t.Fatalf("instance %s is held by %+v", instance, list)
+		}
+	}
+	for name, n := range held {
+		if n > 1 {
+			t.Fatalf("host %s holds connections to %d instances, of 20 to 59 hosts", name, n)
+		}
+	}
+}
--- a/internal/control/place/place.go
+++ b/internal/control/place/place.go
@@ -104,26 +104,28 @@
 // choice from the same lists. A strong host of the instance's data centre comes before them,
 // takes any number of instances, and is followed by strong ones of other data centres.
 func Lenders(spots []Spot, hosts []Peer) map[string][]Peer {
-	all := hosts
-	hosts = slices.DeleteFunc(slices.Clone(all), func(h Peer) bool { return h.Strong })
+	weak := slices.DeleteFunc(slices.Clone(hosts), func(h Peer) bool { return h.Strong })
+	stronger := slices.DeleteFunc(slices.Clone(hosts), func(h Peer) bool { return !h.Strong })
+	near := map[string][]Peer{}
+	for _, h := range weak {
+		near[h.Center] = append(near[h.Center], h)
+	}
 	spots = slices.Clone(spots)
 	sort.Slice(spots, func(i, j int) bool { return spots[i].Instance < spots[j].Instance })
+	counts := map[string]int{}
+	for _, s := range spots {
+		counts[s.Center]++
+	}
 	load := map[string]int{}
 	chosen := map[string][]Peer{}
 	for _, s := range spots {
-		chosen[s.Instance] = strong(s, all)
-		near := slices.DeleteFunc(slices.Clone(hosts), func(h Peer) bool { return h.Center != s.Center })
-		if len(near) < leastLenders {
-			near = slices.Clone(hosts)
+		from := near[s.Center]
+		if len(from) < leastLenders {
+			from = weak
 		}
-		n := min(mostLenders, max(leastLenders, len(near)/max(1, spotsIn(spots, s.Center))))
-		sort.SliceStable(near, func(i, j int) bool {
-			if load[near[i].Name] != load[near[j].Name] {
-				return load[near[i].Name] < load[near[j].Name]
-			}
-			return score(s.Instance, near[i].Name) > score(s.Instance, near[j].Name)
-		})
-		for _, h := range near[:min(n, len(near))] {
+		n := min(len(from), mostLenders, max(leastLenders, len(from)/counts[s.Center]))
+		chosen[s.Instance] = strong(s, stronger)
+		for _, h := range least(from, n, s.Instance, load) {
 			load[h.Name]++
 			chosen[s.Instance] = append(chosen[s.Instance], h)
 		}
@@ -131,6 +133,31 @@
 	return chosen
 }
 
+// least returns the n hosts with the least load, the best score for the instance first among equal
+// ones. With hundreds of hosts a sort would take most of the time of a placement.
+func least(hosts []Peer, n int, instance string, load map[string]int) []Peer {
+	type rank struct {
+		load  int
+		score uint64
+	}
+	ranks := make([]rank, len(hosts))
+	for i, h := range hosts {
+		ranks[i] = rank{load[h.Name], score(instance, h.Name)}
+	}
+	var list []Peer
+	for range n {
+		best := -1
+		for i, r := range ranks {
+			if r.load >= 0 && (best < 0 || r.load < ranks[best].load || r.load == ranks[best].load && r.score > ranks[best].score) {
+				best = i
+			}
+		}
+		ranks[best].load = -1
+		list = append(list, hosts[best])
+	}
+	return list
+}
+
 // Shares returns how many connections to an instance each lender keeps open, of a number that
 // hosts may have together. Where the first one is strong, nearly all statements go over it, and
 // it has half of them. Lenders beyond the number of connections get none: the list ends before.
@@ -160,7 +187,7 @@
 // rendezvous hashing: one of its data centre, then substitutes. It returns none where its data
 // centre has none, since all bytes would go between data centres twice.
 func strong(s Spot, hosts []Peer) []Peer {
-	list := slices.DeleteFunc(slices.Clone(hosts), func(h Peer) bool { return !h.Strong })
+	list := slices.Clone(hosts)
 	sort.SliceStable(list, func(i, j int) bool { return score(s.Instance, list[i].Name) > score(s.Instance, list[j].Name) })
 	first := slices.IndexFunc(list, func(h Peer) bool { return h.Center == s.Center })
 	if first < 0 {
@@ -170,13 +197,3 @@
 	list = slices.Insert(slices.Delete(list, first, first+1), 0, near)
 	return list[:min(len(list), 1+substitutes)]
 }
-
-func spotsIn(spots []Spot, center string) int {
-	n := 0
-	for _, s := range spots {
-		if s.Center == center {
-			n++
-		}
-	}
-	return n
-}
--- a/internal/traffic/desk/desk.go
+++ b/internal/traffic/desk/desk.go
@@ -72,7 +72,11 @@
 	source   *wire.Resource
 	parsed   spec.Manifest
 	named    map[string]spec.Database
-	looks    sync.WaitGroup
+	// chosen are the lenders for spots among peers.
+	chosen map[string][]place.Peer
+	spots  []place.Spot
+	peers  []place.Peer
+	looks  sync.WaitGroup
 }
 
 // Plan is what the host does at a revision. It is immutable.
--- a/internal/traffic/desk/lend.go
+++ b/internal/traffic/desk/lend.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/agatespindle/agatespindle/internal/base/conf"
@@ -78,7 +79,7 @@
 	if len(spots) == 0 {
 		return
 	}
-	chosen := place.Lenders(spots, hosts)
+	chosen := d.lenders(spots, hosts)
 	for _, g := range p.Groups {
 		for _, m := range g.Members {
 			if list, scarce := chosen[m.Instance]; scarce {
@@ -88,6 +89,18 @@
 	}
 }
 
+// lenders returns the hosts that hold connections to instances. Most changes leave the choice as it
+// was: it is made anew only where an instance, or a host that may be chosen, came or went.
+func (d *Desk) lenders(spots []place.Spot, hosts []place.Peer) map[string][]place.Peer {
+	slices.SortFunc(spots, func(a, b place.Spot) int { return strings.Compare(a.Instance, b.Instance) })
+	if d.chosen != nil && slices.Equal(spots, d.spots) && slices.Equal(hosts, d.peers) {
+		return d.chosen
+	}
+	d.spots, d.peers, d.chosen = spots, hosts, place.Lenders(spots, hosts)
+	d.Meter.Add("lenders.chosen", 1)
+	return d.chosen
+}
+
 // others returns the addresses of the other hosts that hold connections for themselves.
 func (d *Desk) others(hosts []place.Peer) []string {
 	var list []string
