--- a/internal/control/leader/leader_test.go
+++ b/internal/control/leader/leader_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net"
-	"sync"
 	"testing"
 	"time"
 
@@ -70,15 +69,14 @@
 		So(c.Send(&wire.Renew{Host: "watcher", Seq: 1, Run: run}), ShouldBeNil)
 		So(c.Recv(&wire.Grant{}), ShouldBeNil)
 		began := time.Now()
-		var wg sync.WaitGroup
-		for i := range joins {
-			wg.Add(1)
-			go func() {
-				defer wg.Done()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			for i := range joins {
 				name := fmt.Sprint("e", i)
 				_, _ = l.Driver.Propose(ctx, &wire.Command{Body: &wire.Command_Join{Join: &wire.Join{Host: name, Run: &wire.HostRun{Link: name, Instance: "1"}}}})
-			}()
-		}
+			}
+		}()
 		seen, messages := map[string]bool{}, 0
 		_ = c.SetDeadline(time.Now().Add(20 * time.Second))
 		for len(seen) < joins {
@@ -91,7 +89,7 @@
 				}
 			}
 		}
-		wg.Wait()
+		<-done
 		Convey("It is told of all of them, fifty times a second at most", func() {
 			So(messages, ShouldBeLessThanOrEqualTo, int(time.Since(began)/(20*time.Millisecond))+2)
 		})
