front: Bound what rude callers take up

Cause, by reading: a message that trickles in held its connection and its bytes (up to 1 MiB each, 184 MB a host) for ever, a connection that never asked for a session too; a caller that floods statements and does not read made answers pile up without bound; a herd could take all descriptors, after which the host reaches no instance. Each has a counter (refused.slowmessage, noopening, unread, toomanycallers). Ruled out: a bound on resting sessions, since honest ones rest for long. Each test fails with the bound at zero, as it was.

--- a/internal/tools/node/traffic.go
+++ b/internal/tools/node/traffic.go
@@ -60,6 +60,7 @@
 	t.front = &front.Server{
 		Addr: n.cfg.Listen.Callers, Codec: platform.CallerCodec(), Broker: broker, Log: n.Log, Meter: n.Meter, Now: clock.Boot,
 		Serves: func(time.Time) bool { return t.desk.Plan().Number > 0 }, Informed: t.desk.Informed(), Unfit: t.desk.Unfit, Quiet: balancerNotices,
+		Bounds:   front.Bounds{Callers: n.cfg.Callers(), Message: front.MessageLimit, Unread: front.UnreadLimit},
 		Patience: time.Duration(transactionShare * float64(n.cfg.Grace())),
 	}
 }
--- a/internal/traffic/front/caller.go
+++ b/internal/traffic/front/caller.go
@@ -25,6 +25,8 @@
 	closed  bool
 	session *sess.Session
 	out     []byte
+	// partial is since when the first part of a message waits for the rest.
+	partial time.Time
 }
 
 // traffic handles the messages that have arrived whole. It runs in the event loop. The
@@ -52,6 +54,10 @@
 	if c.busy || c.closed {
 		return nil, false, gnet.None
 	}
+	if most := c.srv.Bounds.Unread; most > 0 && c.conn.OutboundBuffered() > most {
+		c.srv.Meter.Add("refused.unread", 1)
+		return nil, false, gnet.Close
+	}
 	b, err := c.conn.Peek(-1)
 	if err != nil || len(b) == 0 {
 		return nil, false, gnet.None
@@ -61,8 +67,12 @@
 		return c.reject(err), false, gnet.Close
 	}
 	if n == 0 {
+		if c.partial.IsZero() {
+			c.partial = now
+		}
 		return nil, false, gnet.None
 	}
+	c.partial = time.Time{}
 	if _, err := c.conn.Discard(n); err != nil {
 		return nil, false, gnet.Close
 	}
@@ -206,14 +216,27 @@
 	}
 }
 
-// dismiss closes the connection if nothing runs on it. An open transaction stays unless force
-// is set.
-func (c *caller) dismiss(force bool) {
+// limit closes a connection that takes too long over a message, or over asking for a session.
+func (c *caller) limit(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.busy || c.closed || (c.session != nil && c.session.State() != flow.Idle && !force) {
+	most := c.srv.Bounds.Message
+	if c.busy || c.closed || most == 0 {
 		return
 	}
+	switch {
+	case !c.partial.IsZero() && now.Sub(c.partial) > most:
+		c.srv.Meter.Add("refused.slowmessage", 1)
+	case c.session == nil && now.Sub(c.since) > most:
+		c.srv.Meter.Add("refused.noopening", 1)
+	default:
+		return
+	}
+	c.leave()
+}
+
+// leave ends the session and closes the connection. The caller holds mu.
+func (c *caller) leave() {
 	c.closed = true
 	if c.session != nil {
 		c.session.Close()
@@ -221,3 +244,14 @@
 	}
 	_ = c.conn.Close()
 }
+
+// dismiss closes the connection if nothing runs on it. An open transaction stays unless force
+// is set.
+func (c *caller) dismiss(force bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.busy || c.closed || (c.session != nil && c.session.State() != flow.Idle && !force) {
+		return
+	}
+	c.leave()
+}
--- a/internal/traffic/front/front.go
+++ b/internal/traffic/front/front.go
@@ -57,6 +57,26 @@
 	Welcome func(b []byte, a flow.Answer) []byte
 }
 
+const (
+	// MessageLimit is the usual bound on the arrival of a message: callers send theirs in one go.
+	MessageLimit = 3 * time.Second
+	// UnreadLimit is the usual bound on answers that wait for a caller, the length of the longest
+	// message.
+	UnreadLimit = 1 << 20
+)
+
+// Bounds keep callers that trickle, do not read or come in herds from taking what others need. A
+// zero sets no bound.
+type Bounds struct {
+	// Callers is the number of connections at once.
+	Callers int
+	// Message is how long a message may take to arrive whole, and how long a new connection may rest
+	// before it asks for a session.
+	Message time.Duration
+	// Unread is how many bytes of answers may wait for a caller that does not read.
+	Unread int
+}
+
 // Server accepts callers. The exported fields are set before Run.
 type Server struct {
 	gnet.BuiltinEventEngine
@@ -78,6 +98,8 @@
 	// Quiet is how long a shutdown waits before it ends idle sessions: callers may still be
 	// sent here until the balancer has noticed.
 	Quiet time.Duration
+	// Bounds are what one caller and all of them together may take up.
+	Bounds Bounds
 	// Patience is how long after the start of a shutdown an open transaction may go on.
 	Patience time.Duration
 
@@ -129,17 +151,28 @@
 // OnOpen implements gnet.EventHandler.
 func (s *Server) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
 	one := &caller{srv: s, conn: c, since: s.Now()}
-	c.SetContext(one)
 	s.mu.Lock()
-	s.sessions[one] = struct{}{}
+	full := s.Bounds.Callers > 0 && len(s.sessions) >= s.Bounds.Callers
+	if !full {
+		s.sessions[one] = struct{}{}
+	}
 	s.mu.Unlock()
+	if full {
+		s.Meter.Add("refused.toomanycallers", 1)
+		return s.Codec.Welcome(nil, flow.Refuse(flow.Busy, flow.Idle, "host has as many callers as it can take")), gnet.Close
+	}
+	c.SetContext(one)
 	s.Meter.Add("callers.opened", 1)
 	return nil, gnet.None
 }
 
 // OnTraffic implements gnet.EventHandler.
 func (s *Server) OnTraffic(c gnet.Conn) gnet.Action {
-	return c.Context().(*caller).traffic(s.Now())
+	one, ok := c.Context().(*caller)
+	if !ok {
+		return gnet.Close
+	}
+	return one.traffic(s.Now())
 }
 
 // OnClose implements gnet.EventHandler.
@@ -181,6 +214,7 @@
 		unfit := s.Unfit != nil && s.Unfit(now)
 		for _, one := range s.list() {
 			one.expire(now)
+			one.limit(now)
 			if unfit && now.Sub(one.since) > restBefore {
 				one.dismiss(false)
 			}
--- a/internal/traffic/front/front_test.go
+++ b/internal/traffic/front/front_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -177,6 +178,90 @@
 	})
 }
 
+// TestRudeCallersAreBounded plays the callers of the platform's kind "rude", each beside one that
+// behaves.
+func TestRudeCallersAreBounded(t *testing.T) {
+	const slow = 300 * time.Millisecond
+	Convey("Given a host with bounds", t, func() {
+		h := startHost(t, func(s *front.Server) { s.Bounds = front.Bounds{Callers: 8, Message: slow, Unread: 64 << 10} })
+		defer h.stop()
+		dial := func() net.Conn {
+			c, err := net.Dial("tcp", h.Addr)
+			So(err, ShouldBeNil)
+			_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+			return c
+		}
+		polite := func() {
+			line, err := ask(h.Addr, "SET a 1")
+			So(err, ShouldBeNil)
+			So(line, ShouldEqual, "DONE -\r\n")
+		}
+		Convey("One that trickles a message is closed, in a session and before one", func() {
+			for _, first := range []string{"", "STARTUP stock u\r\n"} {
+				c := dial()
+				fmt.Fprint(c, first+"QUERY 1 SE")
+				polite()
+				_, err := io.ReadAll(c)
+				So(err, ShouldBeNil)
+				c.Close()
+			}
+			So(h.Meter.Count("refused.slowmessage"), ShouldEqual, 2)
+		})
+		Convey("One that never asks for a session is closed", func() {
+			c := dial()
+			defer c.Close()
+			_, err := io.ReadAll(c)
+			So(err, ShouldBeNil)
+			So(h.Meter.Count("refused.noopening"), ShouldEqual, 1)
+		})
+		Convey("One that rests in a session is not", func() {
+			c := dial()
+			defer c.Close()
+			fmt.Fprint(c, "STARTUP stock u\r\n")
+			time.Sleep(4 * slow)
+			fmt.Fprint(c, "QUERY 1 SET a 1\r\nQUIT\r\n")
+			b, err := io.ReadAll(c)
+			So(err, ShouldBeNil)
+			So(string(b), ShouldEqual, "READY I -\r\nDONE -\r\nREADY I -\r\n")
+		})
+		Convey("One that floods and does not read is closed before it takes much", func() {
+			c := dial()
+			defer c.Close()
+			line := []byte("QUERY 1 SET a 1\r\n")
+			fmt.Fprint(c, "STARTUP stock u\r\n")
+			var err error
+			for n := 0; err == nil && n < 64<<20; n += len(line) << 10 {
+				_, err = c.Write(bytes.Repeat(line, 1<<10))
+			}
+			So(err, ShouldNotBeNil)
+			So(h.Meter.Count("refused.unread"), ShouldEqual, 1)
+			polite()
+		})
+		Convey("A herd is told at once that the host is full, and others come in again after it", func() {
+			var herd []net.Conn
+			for range 8 {
+				c := dial()
+				fmt.Fprint(c, "STARTUP stock u\r\n")
+				_, err := bufio.NewReader(c).ReadString('\n')
+				So(err, ShouldBeNil)
+				herd = append(herd, c)
+			}
+			c := dial()
+			b, _ := io.ReadAll(c)
+			So(string(b), ShouldStartWith, "ERR BUSY")
+			c.Close()
+			for _, one := range herd {
+				one.Close()
+			}
+			for end := time.Now().Add(answerWithin); h.Meter.Count("callers.closed") < 8 && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			polite()
+			So(h.Meter.Count("refused.toomanycallers"), ShouldEqual, 1)
+		})
+	})
+}
+
 func openSession(addr string) net.Conn {
 	c, err := net.Dial("tcp", addr)
 	So(err, ShouldBeNil)
