leader: Test that a host that lags gets the latest manifest only

The state keeps only the latest manifest in its history, so a host that was busy meanwhile gets one: shown by this test, which passed at once.

--- a/internal/control/leader/leader_test.go
+++ b/internal/control/leader/leader_test.go
@@ -17,6 +17,8 @@
 	"github.com/agatespindle/agatespindle/internal/control/driver"
 	"github.com/agatespindle/agatespindle/internal/control/leader"
 	"github.com/agatespindle/agatespindle/internal/control/quorum"
+	"github.com/agatespindle/agatespindle/internal/control/spec"
+	"github.com/agatespindle/agatespindle/internal/control/state"
 	"github.com/agatespindle/agatespindle/internal/control/store"
 )
 
@@ -111,3 +113,40 @@
 		})
 	})
 }
+
+// TestSlowHostsGetTheLatestManifest plays a storm of declarations for a host on a slow link: what
+// came while it was busy is told by the last one.
+func TestSlowHostsGetTheLatestManifest(t *testing.T) {
+	Convey("Given a host that was told nothing while three declarations came", t, func() {
+		ctx, cancel := context.WithCancel(t.Context())
+		t.Cleanup(cancel)
+		l, addr := start(t, ctx)
+		declare := func(number uint64) {
+			m := spec.Manifest{Number: number, Groups: []spec.Cluster{{Name: "g"}}}
+			out, err := l.Driver.Propose(ctx, &wire.Command{Body: &wire.Command_Declare{Declare: &wire.Declare{Number: number, Spec: m.Encode(), Source: []byte("s")}}})
+			So(err, ShouldBeNil)
+			So(out.Ok, ShouldBeTrue)
+		}
+		declare(1)
+		dialer := &link.Dialer{Host: "watcher"}
+		defer dialer.Close()
+		var from uint64
+		l.Driver.View(func(s *state.State) { from = s.Revision() })
+		declare(2)
+		declare(3)
+		declare(4)
+		c, err := dialer.Open(ctx, addr, leader.LeaseService)
+		So(err, ShouldBeNil)
+		So(c.Send(&wire.Renew{Host: "watcher", Seq: 1, Applied: from, Run: &wire.HostRun{Link: "w:1", Instance: "1"}}), ShouldBeNil)
+		g := &wire.Grant{}
+		So(c.Recv(g), ShouldBeNil)
+		So(g.Reset_, ShouldBeFalse)
+		var numbers []uint64
+		for _, r := range g.Changes {
+			if r.Kind == string(spec.Manifests) {
+				numbers = append(numbers, r.Version)
+			}
+		}
+		So(numbers, ShouldResemble, []uint64{4})
+	})
+}
