desk: Send all statements over control hosts first; lend: Hold errands until a new host knows the instances

Statements that came between the first manifest and the first lease were refused (90 lines within 120 ms). Change: a stand-in asks control hosts first, its own connection last; a lender that has just started holds errands; a statement waits for a new host's first lease within its goal; a control host asks itself who leads each second time. Ruled out: no connections in reserve at stand-ins at all, since they carry on when all control hosts are killed.

--- a/internal/control/agent/agent.go
+++ b/internal/control/agent/agent.go
@@ -197,7 +197,16 @@
 		}
 	}
 	a.next++
-	return all[a.next%len(all)]
+	turn := a.next
+	if slices.Contains(all, a.Record.GetLink()) {
+		// A control host asks itself each second time: it knows of a new leader before it could find
+		// one among hosts that are down.
+		if turn%2 == 0 {
+			return a.Record.GetLink()
+		}
+		turn /= 2
+	}
+	return all[turn%len(all)]
 }
 
 // SetPeers replaces the control hosts of the settings, after these have changed.
--- a/internal/traffic/desk/desk.go
+++ b/internal/traffic/desk/desk.go
@@ -164,6 +164,10 @@
 // Plan returns what the host does now.
 func (d *Desk) Plan() *Plan { return d.plan.Load() }
 
+// Starting reports whether the host has had no lease since its start. It gets its first one within
+// some tens of milliseconds of the first manifest.
+func (d *Desk) Starting() bool { return d.Agent.Until().IsZero() }
+
 // Ready reports whether the host can serve callers.
 func (d *Desk) Ready(now time.Time) bool {
 	return d.Agent.Valid(now) && d.Plan().Number > 0
--- a/internal/traffic/desk/desk_test.go
+++ b/internal/traffic/desk/desk_test.go
@@ -19,6 +19,7 @@
 	"github.com/agatespindle/agatespindle/internal/control/leader"
 	"github.com/agatespindle/agatespindle/internal/control/spec"
 	"github.com/agatespindle/agatespindle/internal/traffic/desk"
+	"github.com/agatespindle/agatespindle/internal/traffic/flow"
 	"github.com/agatespindle/agatespindle/internal/traffic/pool"
 	"github.com/agatespindle/agatespindle/internal/traffic/token"
 )
@@ -124,3 +125,47 @@
 		So(list[0].Well, ShouldBeFalse)
 	})
 }
+
+// TestStandInsAskControlHostsFirst plays the closing of a recorded day of juguetoteca-uy (inc-4975):
+// entry hosts that stand in for control hosts used their own connections for their own callers, all
+// day and past the order that the control host keeps; with those of before the loss of power the
+// instance was full.
+func TestStandInsAskControlHostsFirst(t *testing.T) {
+	Convey("Given an entry host that stands in for a control host", t, func() {
+		a := &agent.Agent{Peers: []conf.Peer{{Link: "127.0.0.1:1"}}, Log: logs.Discard(), Meter: meter.New(), Now: clock.Boot}
+		a.Prepare()
+		asked := make(chan string, 16)
+		d := &desk.Desk{
+			Host: "e0", Center: "a", Agent: a, Log: logs.Discard(), Meter: meter.New(), Now: time.Now,
+			Borrow: func(addr, _, _ string, _ int, _ time.Duration) (pool.Unit, error) {
+				asked <- "borrowed from " + addr
+				return nil, errors.New("out of reach")
+			},
+		}
+		d.Open = func(group, instance, addr string, _ bool, slots int) *pool.Server {
+			return &pool.Server{
+				Group: group, Instance: instance, Addr: addr, Slots: slots, Log: logs.Discard(), Meter: meter.New(), Now: d.Now,
+				Dial: func(context.Context, string) (net.Conn, error) {
+					asked <- "opened"
+					return nil, errors.New("out of reach")
+				},
+			}
+		}
+		d.Prepare()
+		m := spec.Manifest{Number: 1, Groups: []spec.Cluster{{Name: "g", Connections: 22}}}
+		list := []*wire.Resource{
+			{Kind: string(spec.Manifests), Name: spec.Current, Version: 1, Revision: 1, Spec: m.Encode()},
+			{Kind: string(spec.Backends), Name: "i", Revision: 1, Backend: &wire.BackendRun{Group: "g", Addr: "h:1", Center: "a", Slots: 3}},
+			{Kind: string(spec.Hosts), Name: "k", Revision: 1, Host: &wire.HostRun{Center: "a", Link: "k", Roles: []string{string(conf.Control)}}},
+		}
+		for _, name := range []string{"e0", "e1"} {
+			list = append(list, &wire.Resource{Kind: string(spec.Hosts), Name: name, Revision: 1, Host: &wire.HostRun{Center: "a", Link: name, Roles: []string{string(conf.Entry)}}})
+		}
+		a.Learned(agent.NewView(1, list))
+		u, err := d.Find("g", "i").Open(t.Context(), time.Second, 1)
+		So(err, ShouldBeNil)
+		_, _, err = u.Run(time.Second, flow.Values{}, flow.Request{ID: "1", Text: "READ x"}, true)
+		So(err, ShouldNotBeNil)
+		So([]string{<-asked, <-asked}, ShouldResemble, []string{"borrowed from k", "opened"})
+	})
+}
--- a/internal/traffic/desk/lend.go
+++ b/internal/traffic/desk/lend.go
@@ -112,7 +112,9 @@
 	return list
 }
 
-// share makes this host hold its part of the connections to an instance, or borrow.
+// share makes this host hold its part of the connections to an instance, or borrow. An entry host
+// that stands in for control hosts sends its own callers' statements over those as well: what goes
+// past them is neither ordered nor counted there.
 func (d *Desk) share(m *Member, lenders []place.Peer) {
 	shares := place.Shares(pool.Room(m.room), lenders)
 	lenders = lenders[:len(shares)]
@@ -120,18 +122,22 @@
 	for m.strong < len(lenders) && lenders[m.strong].Strong {
 		m.strong++
 	}
+	own := 0
 	for i, h := range lenders {
 		if h.Name != d.Host {
 			m.lenders = append(m.lenders, h.Link)
 			continue
 		}
-		m.lenders = nil
+		own = shares[i]
+		m.lenders = m.lenders[:min(i, m.strong)]
+		if i < m.strong {
+			m.lenders = nil
+		}
 		m.Guard()
 		m.Standby(i > 0)
-		m.Resize(m.room, shares[i])
-		return
+		break
 	}
-	m.Resize(m.room, 0)
+	m.Resize(m.room, own)
 }
 
 // Find returns an instance of a group, or nil.
--- a/internal/traffic/lend/lend.go
+++ b/internal/traffic/lend/lend.go
@@ -84,7 +84,7 @@
 }
 
 func (l *Lender) open(ctx context.Context, e *wire.Errand) (pool.Unit, error) {
-	m := l.Desk.Find(e.Group, e.Instance)
+	m := l.find(ctx, e)
 	if m == nil || l.draining.Load() {
 		return nil, fault.New(fault.NotRun, fault.NoBackend, "instance %s is not held here", e.Instance)
 	}
@@ -97,6 +97,18 @@
 	return u, nil
 }
 
+// find returns the instance of an errand. A host that has just started learns of it soon, often
+// later than the hosts that ask: to turn them away would make each open a connection of its own.
+func (l *Lender) find(ctx context.Context, e *wire.Errand) *desk.Member {
+	if m := l.Desk.Find(e.Group, e.Instance); m != nil {
+		return m
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(e.Patience))
+	defer cancel()
+	clock.Await(ctx, l.Desk.Informed())
+	return l.Desk.Find(e.Group, e.Instance)
+}
+
 // run runs an errand. It reports whether the unit is done with.
 func (l *Lender) run(u pool.Unit, e *wire.Errand, reply *wire.Errandreply) bool {
 	began := time.Now()
--- /dev/null
+++ b/internal/traffic/lend/lend_test.go
@@ -0,0 +1,75 @@
+package lend_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/agatespindle/agatespindle/internal/base/clock"
+	"github.com/agatespindle/agatespindle/internal/base/conf"
+	"github.com/agatespindle/agatespindle/internal/base/link"
+	"github.com/agatespindle/agatespindle/internal/base/logs"
+	"github.com/agatespindle/agatespindle/internal/base/meter"
+	"github.com/agatespindle/agatespindle/internal/base/wire"
+	"github.com/agatespindle/agatespindle/internal/control/agent"
+	"github.com/agatespindle/agatespindle/internal/control/spec"
+	"github.com/agatespindle/agatespindle/internal/traffic/desk"
+	"github.com/agatespindle/agatespindle/internal/traffic/lend"
+	"github.com/agatespindle/agatespindle/internal/traffic/pool"
+)
+
+// TestErrandsWaitForALenderThatStarts plays the restart of all hosts on a recorded day of
+// juguetoteca-uy (inc-4975): a control host learned of the instances 100 ms after the hosts that
+// asked it, turned them away, and each opened a connection of its own.
+func TestErrandsWaitForALenderThatStarts(t *testing.T) {
+	Convey("Given a control host that knows no instance yet", t, func() {
+		a := &agent.Agent{Peers: []conf.Peer{{Link: "127.0.0.1:1"}}, Log: logs.Discard(), Meter: meter.New(), Now: clock.Boot}
+		a.Prepare()
+		d := &desk.Desk{Host: "k", Center: "a", Lends: true, Agent: a, Log: logs.Discard(), Meter: meter.New(), Now: time.Now}
+		d.Open = func(group, instance, addr string, _ bool, slots int) *pool.Server {
+			return &pool.Server{
+				Group: group, Instance: instance, Addr: addr, Slots: slots, Log: logs.Discard(), Meter: meter.New(), Now: d.Now,
+				Dial: func(context.Context, string) (net.Conn, error) { return nil, errors.New("out of reach") },
+			}
+		}
+		d.Prepare()
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		ctx, cancel := context.WithCancel(t.Context())
+		lender := &lend.Lender{Desk: d, Meter: meter.New()}
+		end := (&link.Server{Listener: ln, Handlers: map[string]link.Handler{lend.Service: lender.Serve}}).Run(ctx)
+		dialer := &link.Dialer{Host: "e"}
+		ask := func(patience time.Duration) string {
+			c, err := dialer.Open(ctx, ln.Addr().String(), lend.Service)
+			So(err, ShouldBeNil)
+			defer c.Close()
+			_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+			So(c.Send(&wire.Errand{Group: "g", Instance: "i", Patience: int64(patience), Limit: int64(time.Second), Last: true, Question: &wire.Question{Text: "READ x"}}), ShouldBeNil)
+			r := &wire.Errandreply{}
+			So(c.Recv(r), ShouldBeNil)
+			return r.Error
+		}
+		Convey("An errand waits as long as it may, and is told that nothing was sent", func() {
+			So(ask(20*time.Millisecond), ShouldContainSubstring, "not held here")
+		})
+		Convey("One that waits gets on once the instances are known", func() {
+			m := spec.Manifest{Number: 1, Groups: []spec.Cluster{{Name: "g", Connections: 22}}}
+			time.AfterFunc(50*time.Millisecond, func() {
+				a.Learned(agent.NewView(1, []*wire.Resource{
+					{Kind: string(spec.Manifests), Name: spec.Current, Version: 1, Revision: 1, Spec: m.Encode()},
+					{Kind: string(spec.Backends), Name: "i", Revision: 1, Backend: &wire.BackendRun{Group: "g", Addr: "h:1", Center: "a", Slots: 3}},
+				}))
+			})
+			So(ask(5*time.Second), ShouldNotContainSubstring, "not held here")
+		})
+		Reset(func() {
+			dialer.Close()
+			cancel()
+			So(<-end, ShouldBeNil)
+		})
+	})
+}
--- a/internal/traffic/sess/single.go
+++ b/internal/traffic/sess/single.go
@@ -106,14 +106,22 @@
 }
 
 // awaits waits a moment where the only thing that the instances lack is a position, which
-// they receive soon. It reports false where that would come too late for the caller.
+// they receive soon, or where this host has just started and lacks its first lease. It reports
+// false where that would come too late for the caller.
 func (a *attempt) awaits(ctx context.Context) bool {
 	now := a.s.b.Now()
-	if a.guarded || now.Sub(a.began)+catchUpPause > a.db.Goal || !a.group.CatchesUp(now, a.tried) {
+	if a.guarded || now.Sub(a.began)+catchUpPause > a.db.Goal {
+		return false
+	}
+	switch {
+	case a.s.b.Desk.Starting():
+		a.s.b.Meter.Add("waited.lease", 1)
+	case a.group.CatchesUp(now, a.tried):
+		a.s.b.Meter.Add("waited.behind", 1)
+	default:
 		return false
 	}
 	a.tries--
-	a.s.b.Meter.Add("waited.behind", 1)
 	clock.Sleep(ctx, catchUpPause)
 	return true
 }
