front: Take no caller in once the drain of a stopping host has ended

SIGTERM at 23.751 s, a statement of a new caller read at 26.582 s and passed on, its connection closed at 26.630 s. Change: the moment in which no session is left is the one from which none is taken in; they are told so and turn elsewhere. Ruled out: the drain's time limit (5.5 s) and the bounds on rude callers (busy connections are left alone).

--- a/internal/traffic/front/front.go
+++ b/internal/traffic/front/front.go
@@ -108,7 +108,9 @@
 	booted   chan struct{}
 	mu       sync.Mutex
 	sessions map[*caller]struct{}
-	wg       sync.WaitGroup
+	// drained is set once no session is left during a shutdown; none is taken in from then on.
+	drained bool
+	wg      sync.WaitGroup
 }
 
 var _ gnet.EventHandler = (*Server)(nil)
@@ -151,21 +153,29 @@
 // OnOpen implements gnet.EventHandler.
 func (s *Server) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
 	one := &caller{srv: s, conn: c, since: s.Now()}
-	s.mu.Lock()
-	full := s.Bounds.Callers > 0 && len(s.sessions) >= s.Bounds.Callers
-	if !full {
-		s.sessions[one] = struct{}{}
-	}
-	s.mu.Unlock()
-	if full {
-		s.Meter.Add("refused.toomanycallers", 1)
-		return s.Codec.Welcome(nil, flow.Refuse(flow.Busy, flow.Idle, "host has as many callers as it can take")), gnet.Close
+	if reason := s.admit(one); reason != "" {
+		s.Meter.Add("refused."+reason, 1)
+		return s.Codec.Welcome(nil, flow.Refuse(flow.Busy, flow.Idle, "host takes no more callers: "+reason)), gnet.Close
 	}
 	c.SetContext(one)
 	s.Meter.Add("callers.opened", 1)
 	return nil, gnet.None
 }
 
+// admit takes a connection in, or returns why it can't.
+func (s *Server) admit(one *caller) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.drained:
+		return "stopping"
+	case s.Bounds.Callers > 0 && len(s.sessions) >= s.Bounds.Callers:
+		return "toomanycallers"
+	}
+	s.sessions[one] = struct{}{}
+	return ""
+}
+
 // OnTraffic implements gnet.EventHandler.
 func (s *Server) OnTraffic(c gnet.Conn) gnet.Action {
 	one, ok := c.Context().(*caller)
@@ -225,6 +235,15 @@
 // drainPoll is the interval at which a drain looks for idle sessions.
 const drainPoll = 25 * time.Millisecond
 
+// emptied reports whether no session is left. Then none is taken in any more: what follows the
+// drain would cut it.
+func (s *Server) emptied() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drained = len(s.sessions) == 0
+	return s.drained
+}
+
 // Drain lets sessions end: idle ones after Quiet, transactions when they end or after
 // Patience. It returns when none is left or ctx ends.
 func (s *Server) Drain(ctx context.Context) {
@@ -233,11 +252,10 @@
 	for ctx.Err() == nil {
 		now := s.Now()
 		if now.Sub(began) >= s.Quiet {
-			all := s.list()
-			if len(all) == 0 {
+			if s.emptied() {
 				return
 			}
-			for _, one := range all {
+			for _, one := range s.list() {
 				one.dismiss(now.Sub(began) >= s.Patience)
 			}
 		}
--- a/internal/traffic/front/front_test.go
+++ b/internal/traffic/front/front_test.go
@@ -178,6 +178,23 @@
 	})
 }
 
+// TestNobodyComesInAfterTheDrain plays a hunted day of juguetoteca-uy (core-replaced, seed
+// 953273824582): a caller that came after the last session of a stopping host had ended was taken in,
+// and cut 50 ms later with its statement under way.
+func TestNobodyComesInAfterTheDrain(t *testing.T) {
+	Convey("Given a host whose drain has ended and whose process has not", t, func() {
+		h := startHost(t)
+		defer h.stop()
+		h.Drain(t.Context())
+		Convey("A caller is refused, so that it turns to another host", func() {
+			line, err := ask(h.Addr, "SET a 1")
+			So(err, ShouldBeNil)
+			So(line, ShouldStartWith, "ERR BUSY")
+			So(h.Meter.Count("refused.stopping"), ShouldEqual, 1)
+		})
+	})
+}
+
 // TestRudeCallersAreBounded plays the callers of the platform's kind "rude", each beside one that
 // behaves.
 func TestRudeCallersAreBounded(t *testing.T) {
