--- /dev/null
+++ b/internal/tools/random/random.go
@@ -0,0 +1,69 @@
+// Package random provides messages between hosts with random content, for tests that look for input
+// that ends a process.
+package random
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"google.golang.org/protobuf/reflect/protoreflect"
+)
+
+// Fill sets fields of a message at random, two times out of three, and messages within it down to a
+// depth. Names and numbers come from a few, so that messages meet what others have made.
+func Fill(r *rand.Rand, m protoreflect.Message, depth int) {
+	fields := m.Descriptor().Fields()
+	for i := range fields.Len() {
+		f := fields.Get(i)
+		if one := f.ContainingOneof(); one != nil {
+			if i != one.Fields().Get(0).Index() {
+				continue
+			}
+			f = one.Fields().Get(r.IntN(one.Fields().Len()))
+		} else if r.IntN(3) == 0 {
+			continue
+		}
+		switch {
+		case f.IsMap():
+		case f.IsList():
+			for range r.IntN(3) {
+				list := m.Mutable(f).List()
+				if f.Message() == nil {
+					list.Append(scalar(r, f))
+				} else if depth > 0 {
+					v := list.NewElement()
+					Fill(r, v.Message(), depth-1)
+					list.Append(v)
+				}
+			}
+		case f.Message() != nil:
+			if depth > 0 {
+				Fill(r, m.Mutable(f).Message(), depth-1)
+			}
+		default:
+			m.Set(f, scalar(r, f))
+		}
+	}
+}
+
+func scalar(r *rand.Rand, f protoreflect.FieldDescriptor) protoreflect.Value {
+	switch f.Kind() {
+	case protoreflect.BoolKind:
+		return protoreflect.ValueOfBool(r.IntN(2) == 0)
+	case protoreflect.EnumKind:
+		return protoreflect.ValueOfEnum(protoreflect.EnumNumber(r.IntN(9) - 1))
+	case protoreflect.StringKind:
+		return protoreflect.ValueOfString([]string{"", "a", "b", "groups", "hosts", "manifests", "current"}[r.IntN(7)])
+	case protoreflect.BytesKind:
+		return protoreflect.ValueOfBytes([]byte(fmt.Sprint(`{"a":`, r.IntN(3), "}")))
+	case protoreflect.Uint64Kind:
+		return protoreflect.ValueOfUint64(r.Uint64N(4))
+	case protoreflect.Uint32Kind:
+		return protoreflect.ValueOfUint32(r.Uint32N(4))
+	case protoreflect.Int32Kind:
+		return protoreflect.ValueOfInt32(r.Int32N(4) - 1)
+	case protoreflect.DoubleKind:
+		return protoreflect.ValueOfFloat64(r.Float64())
+	}
+	return protoreflect.ValueOfInt64(r.Int64N(4) - 1)
+}
