--- a/internal/traffic/desk/desk_test.go
+++ b/internal/traffic/desk/desk_test.go
@@ -126,12 +126,12 @@
 	})
 }
 
-// TestStandInsAskControlHostsFirst plays the closing of a recorded day of juguetoteca-uy (inc-4975):
-// entry hosts that stand in for control hosts used their own connections for their own callers, all
+// TestStandbyHostsAskControlHostsFirst plays the closing of a recorded day of juguetoteca-uy (inc-4975):
+// entry hosts on standby for control hosts used their own connections for their own callers, all
 // day and past the order that the control host keeps; with those of before the loss of power the
 // instance was full.
-func TestStandInsAskControlHostsFirst(t *testing.T) {
-	Convey("Given an entry host that stands in for a control host", t, func() {
+func TestStandbyHostsAskControlHostsFirst(t *testing.T) {
+	Convey("Given an entry host on standby for a control host", t, func() {
 		a := &agent.Agent{Peers: []conf.Peer{{Link: "127.0.0.1:1"}}, Log: logs.Discard(), Meter: meter.New(), Now: clock.Boot}
 		a.Prepare()
 		asked := make(chan string, 16)
--- a/internal/traffic/desk/lend.go
+++ b/internal/traffic/desk/lend.go
@@ -113,7 +113,7 @@
 }
 
 // share makes this host hold its part of the connections to an instance, or borrow. An entry host
-// that stands in for control hosts sends its own callers' statements over those as well: what goes
+// that is on standby for control hosts sends its own callers' statements over those as well: what goes
 // past them is neither ordered nor counted there.
 func (d *Desk) share(m *Member, lenders []place.Peer) {
 	shares := place.Shares(pool.Room(m.room), lenders)
