link: Share the opening of a session; outlive a failed accept

Cause: each stream that finds no session with a host opens a connection, hundreds at once after a restart, and closes all but one; and an accept that fails ended the process. Change: calls for one host share one opening and its outcome; an accept that fails is tried again after 20 ms.

--- a/internal/base/link/link.go
+++ b/internal/base/link/link.go
@@ -17,6 +17,7 @@
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/agatespindle/agatespindle/internal/base/clock"
 	"github.com/agatespindle/agatespindle/internal/base/wire"
 )
 
@@ -24,11 +25,13 @@
 const MaxMessage = 64 << 20
 
 const (
-	dialLimit  = time.Second
-	helloLimit = 2 * time.Second
-	writeLimit = 2 * time.Second
-	keepAlive  = 2 * time.Second
-	windowSize = 1 << 20
+	dialLimit = time.Second
+	// acceptPause is the time between two tries to accept a connection after one that failed.
+	acceptPause = 20 * time.Millisecond
+	helloLimit  = 2 * time.Second
+	writeLimit  = 2 * time.Second
+	keepAlive   = 2 * time.Second
+	windowSize  = 1 << 20
 )
 
 // Conn is one stream of messages. Recv and Send may run side by side, each by one goroutine.
@@ -178,7 +181,12 @@
 			if ctx.Err() != nil {
 				return nil
 			}
-			return fmt.Errorf("accept hosts: %w", err)
+			if errors.Is(err, net.ErrClosed) {
+				return fmt.Errorf("accept hosts: %w", err)
+			}
+			// Too many open files, for one: those that are open go on, and some of them end.
+			clock.Sleep(ctx, acceptPause)
+			continue
 		}
 		session, err := yamux.Server(raw, settings())
 		if err != nil {
@@ -251,6 +259,15 @@
 
 	mu       sync.Mutex
 	sessions map[string]*yamux.Session
+	// openings are the sessions that are being opened, by address.
+	openings map[string]*opening
+}
+
+// opening is a session that is being opened. The outcome is set once done is closed.
+type opening struct {
+	done    chan struct{}
+	session *yamux.Session
+	err     error
 }
 
 // Open opens a stream to the named service at addr.
@@ -278,13 +295,43 @@
 	return c, nil
 }
 
+// session returns the session with addr. Calls that come while it is being opened share its outcome:
+// with hundreds of statements under way, a connection for each of them would take all descriptors
+// of the other host.
 func (d *Dialer) session(ctx context.Context, addr string) (*yamux.Session, error) {
 	d.mu.Lock()
-	have := d.sessions[addr]
-	d.mu.Unlock()
-	if have != nil && !have.IsClosed() {
+	if have := d.sessions[addr]; have != nil && !have.IsClosed() {
+		d.mu.Unlock()
 		return have, nil
 	}
+	o := d.openings[addr]
+	if o == nil {
+		o = &opening{done: make(chan struct{})}
+		if d.openings == nil {
+			d.openings = map[string]*opening{}
+		}
+		d.openings[addr] = o
+		go d.open(context.WithoutCancel(ctx), addr, o)
+	}
+	d.mu.Unlock()
+	select {
+	case <-o.done:
+		return o.session, o.err
+	case <-ctx.Done():
+		return nil, fmt.Errorf("wait for a session with %s: %w", addr, ctx.Err())
+	}
+}
+
+// open opens a session for all that wait for it; the dial's own limit bounds it.
+func (d *Dialer) open(ctx context.Context, addr string, o *opening) {
+	o.session, o.err = d.connect(ctx, addr)
+	d.mu.Lock()
+	delete(d.openings, addr)
+	d.mu.Unlock()
+	close(o.done)
+}
+
+func (d *Dialer) connect(ctx context.Context, addr string) (*yamux.Session, error) {
 	raw, err := d.dial(ctx, addr)
 	if err != nil {
 		return nil, fmt.Errorf("dial host at %s: %w", addr, err)
--- a/internal/base/link/link_test.go
+++ b/internal/base/link/link_test.go
@@ -4,9 +4,14 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -59,3 +64,100 @@
 		}
 	})
 }
+
+// TestOneConnectionForAll plays the sweep at 100 machines: hundreds of statements found no session
+// with a control host that had restarted, and each opened one.
+func TestOneConnectionForAll(t *testing.T) {
+	Convey("Given many streams to a host that there is no session with", t, func() {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		ctx, cancel := context.WithCancel(t.Context())
+		end := (&link.Server{Listener: ln, Handlers: map[string]link.Handler{"any": func(context.Context, string, *link.Conn) {}}}).Run(ctx)
+		var dials atomic.Int64
+		var failing atomic.Bool
+		d := &link.Dialer{Host: "h", Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+			dials.Add(1)
+			time.Sleep(20 * time.Millisecond)
+			if failing.Load() {
+				return nil, errors.New("out of reach")
+			}
+			var dialer net.Dialer
+			return dialer.DialContext(ctx, "tcp", addr)
+		}}
+		open := func() (failed int64) {
+			var wg sync.WaitGroup
+			var n atomic.Int64
+			for range 100 {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					c, err := d.Open(ctx, ln.Addr().String(), "any")
+					if err != nil {
+						n.Add(1)
+						return
+					}
+					c.Close()
+				}()
+			}
+			wg.Wait()
+			return n.Load()
+		}
+		Convey("They share one connection", func() {
+			So(open(), ShouldEqual, 0)
+			So(dials.Load(), ShouldEqual, 1)
+		})
+		Convey("They share a failure too, and the next one tries again", func() {
+			failing.Store(true)
+			So(open(), ShouldEqual, 100)
+			So(dials.Load(), ShouldBeLessThanOrEqualTo, 5)
+			failing.Store(false)
+			So(open(), ShouldEqual, 0)
+		})
+		Convey("One that may not wait for it does not", func() {
+			short, stop := context.WithTimeout(ctx, time.Millisecond)
+			defer stop()
+			_, err := d.Open(short, ln.Addr().String(), "any")
+			So(errors.Is(err, context.DeadlineExceeded), ShouldBeTrue)
+		})
+		Reset(func() {
+			cancel()
+			d.Close()
+			So(<-end, ShouldBeNil)
+		})
+	})
+}
+
+// refusing is a listener whose first accepts fail, as one's of a process without descriptors left.
+type refusing struct {
+	net.Listener
+	left atomic.Int64
+}
+
+func (r *refusing) Accept() (net.Conn, error) {
+	if r.left.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return r.Listener.Accept()
+}
+
+// TestAcceptOutlivesWantOfDescriptors plays the sweep at 300 machines, where "too many open files" ended
+// two control hosts.
+func TestAcceptOutlivesWantOfDescriptors(t *testing.T) {
+	Convey("A host that can't accept connections for a while accepts them later", t, func() {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		ctx, cancel := context.WithCancel(t.Context())
+		r := &refusing{Listener: ln}
+		r.left.Store(3)
+		served := make(chan struct{}, 1)
+		end := (&link.Server{Listener: r, Handlers: map[string]link.Handler{"any": func(context.Context, string, *link.Conn) { served <- struct{}{} }}}).Run(ctx)
+		d := &link.Dialer{Host: "h"}
+		c, err := d.Open(ctx, ln.Addr().String(), "any")
+		So(err, ShouldBeNil)
+		<-served
+		c.Close()
+		d.Close()
+		cancel()
+		So(<-end, ShouldBeNil)
+	})
+}
