leader: Refuse a request for a place in the quorum that names nobody

The test sends to every host now, so that the leader is among them; it fails each time without the check. Other calls with random content: none found.

--- a/internal/control/leader/leader__calls.go
+++ b/internal/control/leader/leader__calls.go
@@ -128,6 +128,9 @@
 
 // member notes a control host that asks for a place in the quorum.
 func (l *Leader) member(call *wire.Call) *wire.Reply {
+	if call.Member.GetId() == "" || call.Member.GetAddr() == "" {
+		return l.failure(fault.New(fault.NotRun, fault.Invalid, "a place in the quorum was asked for without a name or an address"))
+	}
 	st := l.Driver.Status()
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/tools/node/input_integration_test.go
+++ b/internal/tools/node/input_integration_test.go
@@ -73,7 +73,7 @@
 			lend.Service:        func() proto.Message { return &wire.Errand{} },
 		}
 		Convey("It goes on, whatever its hosts are sent", func() {
-			for _, addr := range []string{c.ip(0) + ":7440", c.ip(50) + ":7440"} {
+			for _, addr := range []string{c.ip(0) + ":7440", c.ip(1) + ":7440", c.ip(2) + ":7440", c.ip(50) + ":7440"} {
 				for n := range 10 {
 					speak(addr, bytes(1+n*40))
 				}
