--- a/internal/control/driver/driver.go
+++ b/internal/control/driver/driver.go
@@ -278,6 +278,11 @@
 	if err := d.Store.Install(s); err != nil {
 		return err
 	}
+	return d.adopt(s)
+}
+
+// adopt replaces the state by that of a snapshot.
+func (d *Driver) adopt(s quorum.Snapshot) error {
 	next := state.New()
 	if len(s.Data) > 0 {
 		var err error
--- a/internal/control/driver/driver__disk.go
+++ b/internal/control/driver/driver__disk.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/agatespindle/agatespindle/internal/base/fault"
 	"github.com/agatespindle/agatespindle/internal/control/quorum"
-	"github.com/agatespindle/agatespindle/internal/control/state"
 )
 
 // diskRetry is the time between two tries to write to a disk that refused a write.
@@ -80,20 +78,9 @@
 
 // resume starts from what is on disk, as after a restart of the process.
 func (d *Driver) resume() error {
-	next := state.New()
-	if len(d.Restored.Snapshot.Data) > 0 {
-		var err error
-		if next, err = state.Restore(d.Restored.Snapshot.Data); err != nil {
-			return fmt.Errorf("restore state: %w", err)
-		}
+	if err := d.adopt(d.Restored.Snapshot); err != nil {
+		return err
 	}
-	next.Skip(d.Restored.Snapshot.Index)
-	d.mu.Lock()
-	d.state = next
-	close(d.changed)
-	d.changed = make(chan struct{})
-	d.mu.Unlock()
-	d.lastCut = d.Restored.Snapshot.Index
 	d.logged = 0
 	d.core = quorum.New(d.Now(), d.Options, d.Restored)
 	d.publish()
