story, nodes, front: Count losses from logs, and end statements of callers that left

On-call engineers had to find the reasons of many failed requests by hand: explain tells of one request.

- agatespindle-node losses counts refusals, ended transactions, callers that left and failed tries by interval, group and reason, with the inputs that decided.
- A caller that closes its connection, as at its deadline, was not logged.
Its statement now ends: no further try, no further wait.
The line "caller left" tells which.

Ruled out: keeping lines for a second pass (500 MB of logs); a new log file of its own. Left: a statement that already waits at a lender is not taken out of its queue when its caller leaves; the wait there is at most half of the goal.

--- a/internal/tools/nodes/nodes.go
+++ b/internal/tools/nodes/nodes.go
@@ -32,6 +32,7 @@
 	add(p, "run", "Run this host with the roles from the platform's settings", &runCommand{streams: st})
 	add(p, "check", "Check a settings file and list all errors", &checkCommand{streams: st})
 	add(p, "explain", "Explain the outcome of a request from log lines on standard input", &explainCommand{streams: st, in: in})
+	add(p, "losses", "Count refused and failed requests by time, group and reason from log lines on standard input", &lossesCommand{streams: st, in: in})
 	add(p, "version", "Print the version", &versionCommand{streams: st})
 	_, err := p.ParseArgs(args)
 	return report(err, errOut, out)
--- a/internal/tools/nodes/nodes_test.go
+++ b/internal/tools/nodes/nodes_test.go
@@ -44,4 +44,19 @@
 		So(code, ShouldEqual, 1)
 		So(errs, ShouldContainSubstring, "no log line mentions this request")
 	})
+	Convey("Losses as table and JSON, and invalid options", t, func() {
+		line := `{"fields":{"group":"g","code":"busy"},"timestamp":"2026-01-01T10:00:00Z","message":"request refused"}`
+		code, out, _ := execute(line, "losses")
+		So(code, ShouldEqual, 0)
+		So(out, ShouldContainSubstring, "request refused")
+		code, out, _ = execute(line, "losses", "-o", "json")
+		So(code, ShouldEqual, 0)
+		So(out, ShouldStartWith, `{"losses":[{"start":"2026-01-01T10:00:00Z"`)
+		for _, args := range [][]string{{"--interval", "0s"}, {"--interval", "-1s"}, {"--most", "-1"}, {"-o", "xml"}} {
+			code, out, errs := execute(line, append([]string{"losses"}, args...)...)
+			So(code, ShouldEqual, 2)
+			So(out, ShouldBeBlank)
+			So(errs, ShouldNotBeBlank)
+		}
+	})
 }
--- a/internal/tools/story/story.go
+++ b/internal/tools/story/story.go
@@ -1,9 +1,9 @@
-// Package story explains the outcome of a request from the log lines of the hosts.
+// Package story explains the outcome of a request from the log lines of the hosts, and counts the
+// requests that failed.
 package story
 
 import (
 	"bufio"
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -64,20 +64,13 @@
 	return nil
 }
 
-// readLines decodes the log lines of r and counts those that it cannot decode. Text before the first
-// brace of a line is ignored: log collectors add prefixes.
+// readLines decodes the log lines of r and counts those that it cannot decode.
 func readLines(r io.Reader) (lines []logLine, unreadable int, err error) {
 	sc := bufio.NewScanner(r)
 	sc.Buffer(nil, maxLineBytes)
 	for sc.Scan() {
-		b := sc.Bytes()
-		start := bytes.IndexByte(b, '{')
-		if start < 0 {
-			unreadable++
-			continue
-		}
-		var l logLine
-		if json.Unmarshal(b[start:], &l) != nil || l.Message == "" {
+		l, ok := decodeLine(sc.Bytes())
+		if !ok {
 			unreadable++
 			continue
 		}
@@ -126,6 +119,8 @@
 	case sess.EventTransactionEnded:
 		return fmt.Sprintf("transaction ended with %s at %s on instance %s: %s; had written: %s",
 			l.field("code"), l.field("kind"), l.field("instance"), l.field("cause"), l.field("wrote"))
+	case sess.EventCallerLeft:
+		return fmt.Sprintf("caller left after %s, before the answer", l.field("took"))
 	case sess.EventServed:
 		return fmt.Sprintf("served by instance %s on try %s after %s", l.field("instance"), l.field("try"), l.field("took"))
 	}
@@ -147,6 +142,8 @@
 		switch l.Message {
 		case sess.EventRefused, sess.EventTransactionEnded:
 			outcome = "ended with " + l.field("code")
+		case sess.EventCallerLeft:
+			outcome = "its caller left before the answer"
 		case sess.EventServed:
 			outcome = "answered"
 		}
--- a/internal/traffic/front/caller.go
+++ b/internal/traffic/front/caller.go
@@ -25,7 +25,9 @@
 	busy    bool
 	closed  bool
 	session *sess.Session
-	out     []byte
+	// cancel ends the running statement, if any: its caller no longer waits for the answer.
+	cancel context.CancelFunc
+	out    []byte
 	// partialSince is when the first part of an incomplete message was seen; zero if there is none.
 	partialSince time.Time
 }
@@ -160,8 +162,21 @@
 // runStatement runs one statement. It is called in its own goroutine.
 func (c *caller) runStatement(st flow.Statement) {
 	defer c.srv.wg.Done()
-	a := c.session.Run(c.srv.ctx, st)
+	ctx, cancel := context.WithCancel(c.srv.ctx)
+	defer cancel()
+	started := c.srv.Now()
+	c.mu.Lock()
+	c.cancel = cancel
+	if c.closed {
+		cancel()
+	}
+	c.mu.Unlock()
+	a := c.session.Run(ctx, st)
 	c.mu.Lock()
+	c.cancel = nil
+	if c.closed {
+		c.session.CallerLeft(c.srv.Now(), started, st)
+	}
 	c.out = c.srv.Codec.AppendAnswer(c.out[:0], a)
 	out := c.out
 	c.mu.Unlock()
@@ -200,11 +215,15 @@
 	}
 }
 
-// handleClose ends the session of a closed connection; if a statement is running, finish does.
+// handleClose ends the session of a closed connection. If a statement is running, it makes no further
+// tries, and finish ends the session.
 func (c *caller) handleClose() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed = true
+	if c.cancel != nil {
+		c.cancel()
+	}
 	if !c.busy && c.session != nil {
 		c.session.Close()
 		c.session = nil
--- a/internal/traffic/front/front_test.go
+++ b/internal/traffic/front/front_test.go
@@ -179,6 +179,57 @@
 	})
 }
 
+// TestStatementsOfCallersWhoLeftEnd closes a caller's connection while its statement waits for an
+// instance that accepts connections and never answers.
+func TestStatementsOfCallersWhoLeftEnd(t *testing.T) {
+	Convey("Given a caller that leaves while its statement waits", t, func() {
+		silent, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer silent.Close()
+		h := startHost(t, func(s *front.Server) { addSilentPrimary(s.Sessions.Topology, silent.Addr().String()) })
+		defer h.stop()
+		c, err := net.Dial("tcp", h.Addr)
+		So(err, ShouldBeNil)
+		fmt.Fprint(c, "STARTUP stock u\r\nQUERY 1 WRITE a b\r\n")
+		_, err = bufio.NewReader(c).ReadString('\n')
+		So(err, ShouldBeNil)
+		instance, err := silent.Accept()
+		So(err, ShouldBeNil)
+		defer instance.Close()
+		c.Close()
+		Convey("The statement ends and is counted as left", func() {
+			left := func() bool { return h.Sessions.Meter.CounterValue("callers.left") == 1 }
+			for end := time.Now().Add(answerTimeout); !left() && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			So(left(), ShouldBeTrue)
+			So(h.Sessions.Meter.CounterValue("tries.failed"), ShouldBeLessThanOrEqualTo, 1)
+		})
+	})
+}
+
+// addSilentPrimary declares the instance at addr as the primary of the database's group.
+func addSilentPrimary(topology *topo.Topology, addr string) {
+	topology.NewPool = func(group, instance, addr string, local bool, slots int) *pool.Pool {
+		dial := func(ctx context.Context, addr string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+		}
+		return &pool.Pool{
+			Group: group, Instance: instance, Addr: addr, Local: local, Slots: slots, Codec: platform.BackendCodec(), Log: logs.Discard(), Meter: meter.New(),
+			Dial: dial, Now: clock.Monotonic,
+		}
+	}
+	m := spec.Manifest{
+		Number: 1, Groups: []spec.ManifestGroup{{Name: "g", MaxConnections: 8}},
+		Databases: []spec.Database{{Name: "stock", Group: "g", Consistency: spec.StrongConsistency, StatementTimeout: 5 * time.Second, TargetLatency: 5 * time.Second}},
+	}
+	topology.Agent.OnView(agent.NewView(2, []*wire.Resource{
+		{Kind: string(spec.Manifests), Name: spec.CurrentManifest, Version: 2, Revision: 2, Spec: m.Encode()},
+		{Kind: string(spec.Groups), Name: "g", Revision: 2, Group: &wire.GroupState{Term: 1, Phase: wire.Phase_OPEN, Primary: "i", Reign: 1}},
+		{Kind: string(spec.Backends), Name: "i", Revision: 2, Backend: &wire.BackendState{Group: "g", Addr: addr, Slots: 2}},
+	}))
+}
+
 // TestCallersAreRefusedAfterDrain guards against a fault found in a soak run (core-replaced, seed
 // 953273824582): a caller that connected after the last session of a stopping host had ended was
 // admitted, and disconnected 50 ms later during its statement.
--- a/internal/traffic/sess/requestlog.go
+++ b/internal/traffic/sess/requestlog.go
@@ -18,6 +18,9 @@
 	EventRefused = "request refused"
 	// EventTransactionEnded is a transaction that ended because of a lost connection or an error answer.
 	EventTransactionEnded = "transaction ended"
+	// EventCallerLeft is a statement whose caller closed the connection before the answer, for
+	// instance because its deadline had passed.
+	EventCallerLeft = "caller left"
 	// EventServed is a successful statement; only a sample of these is logged.
 	EventServed = "request served"
 )
@@ -68,6 +71,16 @@
 	})
 }
 
+// CallerLeft counts and logs a statement, started at started, whose caller closed the connection before
+// the answer.
+func (s *Session) CallerLeft(now, started time.Time, st flow.Statement) {
+	s.mgr.Meter.AddCounter("callers.left", 1)
+	group := s.mgr.Topology.Snapshot().Databases[s.database].Group
+	s.mgr.logRequest(now, EventCallerLeft, log.Fields{
+		"request": st.ID, "kind": st.Kind.String(), "database": s.database, "group": group, "code": "left", "took": now.Sub(started).String(),
+	})
+}
+
 // logTransactionEnd logs and counts a transaction that ended with an error.
 func (s *Session) logTransactionEnd(st flow.Statement, code flow.Code, cause string) {
 	tx := s.tx
