leader, driver: Keep renewals until the first leader is known

Cause: after a restart of all hosts, entry hosts asked control hosts that knew no leader yet, were refused, paused for 50 ms and asked the next one, or one that was still down.

Hypothesis: a control host that has just started answers a renewal best once it knows the leader. Change: a voter that has known no leader since its start, and a leader that has committed nothing yet, keep a renewal for up to 200 ms. A voter that lost its leader refuses at once as before, since it may be partitioned; so does a host without a log.

--- a/internal/control/driver/driver.go
+++ b/internal/control/driver/driver.go
@@ -43,6 +43,8 @@
 	// Leader is the ID of the leader, and LeaderAddr its address (host:port); "" if unknown.
 	Leader     string
 	LeaderAddr string
+	// LeaderKnown is set once this host has known a leader since its start.
+	LeaderKnown bool
 	// Leading is set once this host is the leader and has committed an entry of its term.
 	Leading bool
 	// LeaseUntil is the time until which no other host can become leader.
@@ -83,12 +85,14 @@
 
 	inbox  chan request
 	status atomic.Pointer[Status]
-	// mu guards state and changed.
+	// mu guards state, changed and leaderChanged.
 	mu    sync.RWMutex
 	state *state.State
 	// changed is closed and replaced at each change of the state.
 	changed chan struct{}
-	core    *quorum.Core
+	// leaderChanged is closed and replaced when Status names another leader or Leading changes.
+	leaderChanged chan struct{}
+	core          *quorum.Core
 	// pendingCommits has the appended proposals by log index.
 	pendingCommits map[uint64]pendingCommit
 	// pendingRequests has the proposals and reads that the core has not answered, by request ID.
@@ -132,6 +136,7 @@
 func (d *Driver) Prepare() error {
 	d.inbox = make(chan request, inboxSize)
 	d.changed = make(chan struct{})
+	d.leaderChanged = make(chan struct{})
 	d.pendingCommits = map[uint64]pendingCommit{}
 	d.pendingRequests = map[uint64]chan result{}
 	d.senders = map[string]*sender{}
@@ -354,7 +359,21 @@
 		}
 	}
 	s.LeaderAddr = memberAddr(s.Members, s.Leader)
+	d.storeStatus(s)
+}
+
+// storeStatus stores a new status and wakes those who wait for a change of the leader.
+func (d *Driver) storeStatus(s *Status) {
+	previous := d.status.Load()
+	s.LeaderKnown = s.Leader != "" || previous != nil && previous.LeaderKnown
 	d.status.Store(s)
+	if previous != nil && previous.LeaderAddr == s.LeaderAddr && previous.Leading == s.Leading {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	close(d.leaderChanged)
+	d.leaderChanged = make(chan struct{})
 }
 
 // memberAddr returns the address of a member, or "" if id is not in m.
@@ -384,6 +403,14 @@
 	return d.changed
 }
 
+// LeaderChanges returns a channel that is closed when Status next names another leader, or when
+// this host next starts or stops leading.
+func (d *Driver) LeaderChanges() <-chan struct{} {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.leaderChanged
+}
+
 // Propose appends a command to the log and returns its outcome once it is committed and applied.
 // The error is a *fault.Error with verdict NotRun if the command has no effect, and MayHaveRun if
 // ctx ended or the disk failed before that was known.
--- a/internal/control/driver/driver__disk.go
+++ b/internal/control/driver/driver__disk.go
@@ -50,7 +50,7 @@
 		}
 	}
 	previous := d.Status()
-	d.status.Store(&Status{Role: quorum.Follower, Term: previous.Term, CommitIndex: previous.CommitIndex, Members: previous.Members})
+	d.storeStatus(&Status{Role: quorum.Follower, Term: previous.Term, CommitIndex: previous.CommitIndex, Members: previous.Members})
 }
 
 // awaitWritableDisk rejects requests until the log could be read and rewritten. It reports false
--- a/internal/control/leader/leader__lease.go
+++ b/internal/control/leader/leader__lease.go
@@ -7,9 +7,12 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/agatespindle/agatespindle/internal/base/clock"
 	"github.com/agatespindle/agatespindle/internal/base/fault"
 	"github.com/agatespindle/agatespindle/internal/base/link"
 	"github.com/agatespindle/agatespindle/internal/base/wire"
+	"github.com/agatespindle/agatespindle/internal/control/driver"
+	"github.com/agatespindle/agatespindle/internal/control/quorum"
 	"github.com/agatespindle/agatespindle/internal/control/spec"
 	"github.com/agatespindle/agatespindle/internal/control/state"
 )
@@ -24,6 +27,9 @@
 	// hosts join within a second, each host gets about fifty messages a second instead of one for
 	// each join. A single change is pushed at once.
 	pushInterval = 20 * time.Millisecond
+	// leaderWait is how long a control host that has known no leader since its start keeps a renewal
+	// before it refuses it. It is less than a host waits for the first answer on a lease stream.
+	leaderWait = 200 * time.Millisecond
 )
 
 // leaseStream is the leader's side of one host's lease stream.
@@ -100,6 +106,7 @@
 // renew answers one renewal. The time is taken after the request was received, so that the lease
 // ends later for the leader than for the host.
 func (l *Leader) renew(ctx context.Context, ls *leaseStream, r *wire.LeaseRenewal) error {
+	l.awaitLeader(ctx)
 	g := &wire.LeaseGrant{Seq: r.Seq, Lease: uint64(l.LeaseDuration)}
 	reason := l.decideLease(ctx, l.Now(), ls.host, r)
 	if reason == fault.NoLeader {
@@ -118,6 +125,33 @@
 	return ls.send(g)
 }
 
+// awaitLeader waits, for at most leaderWait, while this control host or the leader itself has just
+// started. After a restart of all hosts each entry host thus learns of the leader when there is
+// one, and not after a pause between two tries.
+func (l *Leader) awaitLeader(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaderWait)
+	defer cancel()
+	for ctx.Err() == nil {
+		changed := l.Driver.LeaderChanges()
+		if !LeaderPending(l.Driver.ID, l.Driver.Status()) {
+			return
+		}
+		clock.Await(ctx, changed)
+	}
+}
+
+// LeaderPending reports whether the control host with the identity id and the status st will soon know
+// a leader, so that renewals are worth keeping: it is a voter that has known none since its start, or
+// it was elected and has not committed an entry yet. A voter that has lost its leader may be
+// partitioned from the quorum, and a host without a log learns of a leader only once that one has
+// added it; a host that asks either of them should ask another one.
+func LeaderPending(id string, st driver.Status) bool {
+	if st.Role == quorum.Leader {
+		return !st.Leading
+	}
+	return !st.LeaderKnown && slices.ContainsFunc(st.Members.GetMembers(), func(m *wire.Member) bool { return m.Id == id && !m.Learner })
+}
+
 // decideLease grants a lease and returns "", or returns the reason for refusing it.
 func (l *Leader) decideLease(ctx context.Context, now time.Time, host string, r *wire.LeaseRenewal) fault.Reason {
 	st := l.Driver.Status()
--- a/internal/control/leader/leader_test.go
+++ b/internal/control/leader/leader_test.go
@@ -10,6 +10,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/agatespindle/agatespindle/internal/base/clock"
+	"github.com/agatespindle/agatespindle/internal/base/fault"
 	"github.com/agatespindle/agatespindle/internal/base/link"
 	"github.com/agatespindle/agatespindle/internal/base/logs"
 	"github.com/agatespindle/agatespindle/internal/base/meter"
@@ -28,13 +29,23 @@
 // startLeader runs a leader that is a quorum by itself, and returns it with the address of its
 // lease service.
 func startLeader(t *testing.T, ctx context.Context) (*leader.Leader, string) {
+	l, addr := startControlHost(t, ctx, 20*time.Millisecond)
+	for end := time.Now().Add(10 * time.Second); !l.Driver.Status().Leading && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	return l, addr
+}
+
+// startControlHost is like startLeader but does not wait until the host leads, which takes the
+// election timeout.
+func startControlHost(t *testing.T, ctx context.Context, electionTimeout time.Duration) (*leader.Leader, string) {
 	s, restored, err := store.Open(t.TempDir())
 	So(err, ShouldBeNil)
 	id, restored, err := driver.SeedBootstrap{Addr: "h:1", Seeds: []string{"h:1"}, FirstStart: true}.Initialize(s, restored)
 	So(err, ShouldBeNil)
 	d := &driver.Driver{
 		ID: id, Store: s, Restored: restored, Dialer: &link.Dialer{Host: "core"}, Log: logs.Discard(), Meter: meter.New(), Now: clock.Monotonic,
-		Options: quorum.Options{ElectionTimeout: 20 * time.Millisecond, HeartbeatInterval: 5 * time.Millisecond, Jitter: func(time.Duration) time.Duration { return 0 }},
+		Options: quorum.Options{ElectionTimeout: electionTimeout, HeartbeatInterval: 5 * time.Millisecond, Jitter: func(time.Duration) time.Duration { return 0 }},
 	}
 	So(d.Prepare(), ShouldBeNil)
 	l := &leader.Leader{Driver: d, Log: logs.Discard(), Meter: meter.New(), LeaseDuration: time.Second, Now: clock.Monotonic, Host: "core", Platform: &leader.Platform{}}
@@ -51,12 +62,41 @@
 			}
 		}
 	})
-	for end := time.Now().Add(10 * time.Second); !d.Status().Leading && time.Now().Before(end); {
-		time.Sleep(time.Millisecond)
-	}
 	return l, ln.Addr().String()
 }
 
+// TestRenewalsWaitForTheFirstLeader renews a lease at a control host that has just started, as after a
+// loss of power of all hosts.
+func TestRenewalsWaitForTheFirstLeader(t *testing.T) {
+	Convey("A renewal that arrives before the first leader is known is answered by it", t, func() {
+		ctx, cancel := context.WithCancel(t.Context())
+		t.Cleanup(cancel)
+		_, addr := startControlHost(t, ctx, 100*time.Millisecond)
+		dialer := &link.Dialer{Host: "e"}
+		defer dialer.Close()
+		c, err := dialer.Open(ctx, addr, leader.LeaseService)
+		So(err, ShouldBeNil)
+		So(c.Send(&wire.LeaseRenewal{Host: "e", Seq: 1, Run: &wire.HostState{Link: "e:1", Instance: "1"}}), ShouldBeNil)
+		g := &wire.LeaseGrant{}
+		So(c.Recv(g), ShouldBeNil)
+		So(g.Reason, ShouldNotEqual, string(fault.NoLeader))
+		So(g.Reset_, ShouldBeTrue)
+	})
+	Convey("Renewals wait only where a leader will soon be known", t, func() {
+		voter := &wire.Members{Members: []*wire.Member{{Id: "a"}}}
+		learner := &wire.Members{Members: []*wire.Member{{Id: "a", Learner: true}}}
+		pending := func(st driver.Status) bool { return leader.LeaderPending("a", st) }
+		So(pending(driver.Status{Members: voter}), ShouldBeTrue)
+		So(pending(driver.Status{Members: voter, Role: quorum.Candidate}), ShouldBeTrue)
+		So(pending(driver.Status{Members: voter, Role: quorum.Leader, LeaderKnown: true}), ShouldBeTrue)
+		So(pending(driver.Status{Members: voter, Role: quorum.Leader, LeaderKnown: true, Leading: true}), ShouldBeFalse)
+		So(pending(driver.Status{Members: voter, Leader: "c", LeaderKnown: true}), ShouldBeFalse)
+		So(pending(driver.Status{Members: voter, Role: quorum.Candidate, LeaderKnown: true}), ShouldBeFalse)
+		So(pending(driver.Status{Members: learner}), ShouldBeFalse)
+		So(pending(driver.Status{}), ShouldBeFalse)
+	})
+}
+
 // TestChangesAreBatched restarts all hosts of a large deployment. Each join is a change, so one
 // message per join to each of the 300 hosts would be 90,000 messages.
 func TestChangesAreBatched(t *testing.T) {
