link, quorum: Reach hosts that are just starting, and campaign at once after a restart

Cause: after a loss of power of all hosts the former leader is elected 80 to 100 ms after the third control host starts. It waits one heartbeat interval before it campaigns; and an attempt to connect to a host that is down hangs for the whole dial timeout (120 to 150 ms), since TCP repeats the lost first packet only after a second.

Hypothesis: both waits can go without harm to leases: the lease of the former leader ended with its process. Change: the former leader campaigns in its first tick, then once per heartbeat interval as before. A dialer starts up to five attempts within its timeout and takes the first result.

--- a/internal/base/link/link.go
+++ b/internal/base/link/link.go
@@ -27,6 +27,9 @@
 const (
 	// dialTimeout is the default of Dialer.Timeout.
 	dialTimeout = time.Second
+	// dialAttempts is the number of connection attempts within the dial timeout. A host that is starting
+	// misses the first packet of an attempt, and TCP repeats it only after a second.
+	dialAttempts = 5
 	// acceptRetryDelay is the delay before the next accept after one that failed.
 	acceptRetryDelay = 20 * time.Millisecond
 	// helloTimeout bounds the wait for the Hello message of a new stream.
@@ -407,15 +410,56 @@
 	<-done
 }
 
+// dial opens a connection within the dial timeout. While there is no answer it starts further attempts,
+// dialAttempts in all, and returns the first result. A refusal is a result too: the other host is up
+// but does not listen.
 func (d *Dialer) dial(ctx context.Context, addr string) (net.Conn, error) {
+	timeout := dialTimeout
+	if d.Timeout > 0 {
+		timeout = d.Timeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	results := make(chan dialResult)
+	attempt := func() {
+		raw, err := d.dialOnce(ctx, addr)
+		select {
+		case results <- dialResult{raw, err}:
+		case <-ctx.Done():
+			if raw != nil {
+				raw.Close()
+			}
+		}
+	}
+	tick := time.NewTicker(timeout / dialAttempts)
+	defer tick.Stop()
+	go attempt()
+	for started := 1; ; {
+		select {
+		case r := <-results:
+			return r.conn, r.err
+		case <-tick.C:
+			if started < dialAttempts {
+				started++
+				go attempt()
+			}
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// dialResult is the result of one connection attempt.
+type dialResult struct {
+	conn net.Conn
+	err  error
+}
+
+func (d *Dialer) dialOnce(ctx context.Context, addr string) (net.Conn, error) {
 	if d.Dial != nil {
 		return d.Dial(ctx, addr)
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	if d.Timeout > 0 {
-		dialer.Timeout = d.Timeout
-	}
-	return dialer.DialContext(ctx, "tcp", addr)
+	return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
 }
 
 // Close closes all sessions.
--- a/internal/base/link/link_test.go
+++ b/internal/base/link/link_test.go
@@ -127,6 +127,44 @@
 	})
 }
 
+// TestDialIsRepeated opens streams to a host that is down at first. The first packet of an attempt is then
+// lost, and the attempt gets no answer before TCP sends the packet again after a second.
+func TestDialIsRepeated(t *testing.T) {
+	Convey("Given a host that answers only attempts made after its start", t, func() {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		ctx, cancel := context.WithCancel(t.Context())
+		end := (&link.Server{Listener: ln, Handlers: map[string]link.Handler{"any": func(context.Context, string, *link.Conn) {}}}).Run(ctx)
+		var attempts, lost atomic.Int64
+		d := &link.Dialer{Host: "h", Timeout: time.Second, Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+			if attempts.Add(1) <= lost.Load() {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+		}}
+		Convey("A later attempt opens the stream well before the first one is given up", func() {
+			lost.Store(2)
+			started := time.Now()
+			_, err := d.Open(ctx, ln.Addr().String(), "any")
+			So(err, ShouldBeNil)
+			So(time.Since(started), ShouldBeLessThan, 900*time.Millisecond)
+			So(attempts.Load(), ShouldEqual, 3)
+		})
+		Convey("A host that stays down is given up after the timeout and five attempts", func() {
+			lost.Store(100)
+			_, err := d.Open(ctx, ln.Addr().String(), "any")
+			So(err, ShouldNotBeNil)
+			So(attempts.Load(), ShouldBeLessThanOrEqualTo, 5)
+		})
+		Reset(func() {
+			cancel()
+			d.Close()
+			So(<-end, ShouldBeNil)
+		})
+	})
+}
+
 // failingListener is a listener whose first accepts fail as in a process without free file descriptors.
 type failingListener struct {
 	net.Listener
--- a/internal/control/quorum/core.go
+++ b/internal/control/quorum/core.go
@@ -132,14 +132,17 @@
 
 // New returns a Core that continues from the stored state. It starts as a follower without a
 // leader and waits a full election timeout, since it may have confirmed a heartbeat just before
-// it stopped. If this host led the latest term, it campaigns after one heartbeat interval: its
-// own lease ended with its process.
+// it stopped. If this host led the latest term, it campaigns at once and then once per heartbeat
+// interval: its own lease ended with its process.
 func New(now time.Time, opt Options, stored PersistentState) *Core {
 	c := &Core{opt: opt, term: stored.Term, vote: stored.Vote, log: newRaftLog(stored.Snapshot, stored.Entries), commitIndex: stored.Snapshot.Index}
 	c.lastContact = now
 	c.leaseHolder = c.log.leaderOf(stored.Term)
 	c.wasLeader = c.leaseHolder == opt.ID
 	c.resetElectionDeadline(now)
+	if c.wasLeader {
+		c.electionDeadline = now
+	}
 	c.refreshMembers()
 	return c
 }
--- a/internal/control/quorum/core_test.go
+++ b/internal/control/quorum/core_test.go
@@ -143,6 +143,23 @@
 			So(c.leader(), ShouldEqual, first)
 			So(c.violations, ShouldBeEmpty)
 		})
+		Convey("After a restart of all hosts the former leader leads as soon as a majority is back", func() {
+			for _, id := range c.ids {
+				c.crash(id)
+			}
+			c.inFlight = nil
+			c.tick(time.Second)
+			for _, id := range c.ids {
+				if id != first {
+					c.start(id)
+					break
+				}
+			}
+			c.start(first)
+			c.settle(20 * time.Millisecond)
+			So(c.leader(), ShouldEqual, first)
+			So(c.violations, ShouldBeEmpty)
+		})
 		Convey("A leader that restarts within its lease leads again at once", func() {
 			c.crash(first)
 			c.tick(heartbeatInterval)
