agent: Find the leader without detours after a restart of all hosts

(2) An agent waited for the whole dial timeout on a control host that was down. (3) A host without a log cost a pause of 50 ms before the next was asked.

Hypothesis: a host without a lease finds the leader within some round trips if no try waits for a host that is of no use. Change: a refused connection doesn't count as unanswered, and a host that has had no lease yet follows a redirect directly; another control host is asked as well if one does not accept the stream within 40 ms, three at the most at a time; pauses count from the start of a try, and there are none until as many hosts were asked as the settings name.

Test: TestHostsFindTheLeaderAfterARestart, which takes 2 s before.

--- a/internal/control/agent/agent.go
+++ b/internal/control/agent/agent.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -25,8 +26,14 @@
 )
 
 const (
-	// retryInterval is the pause between two tries of a lease stream or a call.
+	// retryInterval is the time between the starts of two tries of a lease stream, and the pause
+	// between two tries of a call.
 	retryInterval = 50 * time.Millisecond
+	// openPatience is how long a host may take to accept a lease stream before another one is asked
+	// as well: a round trip between regions.
+	openPatience = 40 * time.Millisecond
+	// maxConcurrentOpens is the number of hosts that are asked for a lease stream at the same time.
+	maxConcurrentOpens = 3
 	// defaultStreamTimeout applies where Agent.StreamTimeout is zero.
 	defaultStreamTimeout = 1200 * time.Millisecond
 	// maxHistory is the number of changes that are kept for ChangesSince.
@@ -114,6 +121,7 @@
 	go func() {
 		redirected := false
 		for ctx.Err() == nil {
+			started := a.Now()
 			err := a.runStream(ctx)
 			if err != nil && ctx.Err() == nil {
 				a.Log.WithError(err).Debug("lease stream ended")
@@ -121,8 +129,8 @@
 			}
 			// Follow a redirect at once, but not a second one in a row: two hosts may name each other.
 			redirected = !redirected && errors.Is(err, errRedirect)
-			if !redirected {
-				clock.Sleep(ctx, retryInterval)
+			if !redirected && !a.inFirstRound() {
+				clock.Sleep(ctx, retryInterval-a.Now().Sub(started))
 			}
 		}
 		done <- nil
@@ -130,6 +138,14 @@
 	return done
 }
 
+// inFirstRound reports whether this host has not yet asked as many control hosts as its settings name.
+// After a restart of all hosts, some of them may have lost their disks and know no leader.
+func (a *Agent) inFirstRound() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.nextPeer < len(a.Peers)
+}
+
 // RenewNow sends a renewal at once, to confirm a revision or to report a failed primary.
 func (a *Agent) RenewNow() {
 	select {
@@ -239,21 +255,20 @@
 
 // runStream opens one lease stream and serves it until it ends.
 func (a *Agent) runStream(ctx context.Context) error {
-	addr, service := a.streamTarget()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	c, err := a.Dialer.Open(ctx, addr, service)
-	if err != nil {
-		a.recordUnanswered(addr, service)
-		return err
+	opened := a.openStream(ctx)
+	if opened.err != nil {
+		return opened.err
 	}
+	c, addr, service := opened.conn, opened.addr, opened.service
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	defer stop()
 	defer c.Close()
 	a.recordStream(addr, service)
 	failed := make(chan error, 1)
 	go func() { failed <- a.receiveGrants(c) }()
-	err = a.sendRenewals(ctx, c, failed)
+	err := a.sendRenewals(ctx, c, failed)
 	if errors.Is(err, errRedirect) || ctx.Err() != nil {
 		return err
 	}
@@ -266,6 +281,75 @@
 	return err
 }
 
+// openedStream is the result of opening a lease stream to the service at addr.
+type openedStream struct {
+	addr, service string
+	conn          *link.Conn
+	err           error
+}
+
+// openStream opens a lease stream to the next target. While there is no answer, it asks further targets,
+// one every openPatience, and returns the first stream that opens: a host that is down does not
+// answer at all. It returns the last error if none opens.
+func (a *Agent) openStream(ctx context.Context) openedStream {
+	ctx, cancel := context.WithCancel(ctx)
+	results := make(chan openedStream, maxConcurrentOpens)
+	pending, started := 0, 0
+	start := func() {
+		addr, service := a.streamTarget()
+		pending++
+		started++
+		go func() {
+			c, err := a.Dialer.Open(ctx, addr, service)
+			results <- openedStream{addr, service, c, err}
+		}()
+	}
+	defer func() {
+		cancel()
+		go closeStreams(results, pending)
+	}()
+	tick := time.NewTicker(openPatience)
+	defer tick.Stop()
+	start()
+	for {
+		select {
+		case opened := <-results:
+			pending--
+			if opened.err == nil {
+				return opened
+			}
+			a.recordOpenFailure(opened)
+			if pending == 0 {
+				return opened
+			}
+		case <-tick.C:
+			if started < maxConcurrentOpens {
+				a.setLeader("")
+				start()
+			}
+		}
+	}
+}
+
+// closeStreams closes the streams among the next n results, which are no longer needed.
+func closeStreams(results <-chan openedStream, n int) {
+	for range n {
+		if opened := <-results; opened.err == nil {
+			opened.conn.Close()
+		}
+	}
+}
+
+// recordOpenFailure records a stream that could not be opened. A host that refuses the connection can be
+// reached: it is starting.
+func (a *Agent) recordOpenFailure(opened openedStream) {
+	if errors.Is(opened.err, syscall.ECONNREFUSED) {
+		a.recordFailure()
+		return
+	}
+	a.recordUnanswered(opened.addr, opened.service)
+}
+
 // recordUnanswered records a stream that could not be opened or that stopped delivering answers.
 func (a *Agent) recordUnanswered(addr, service string) {
 	if service == leader.LeaseService {
@@ -438,7 +522,9 @@
 }
 
 // followRedirect makes the next stream go to the leader at addr. It goes through the redirecting
-// host if that leader left a stream unanswered within leaderRelayPeriod.
+// host if that leader left a stream unanswered within leaderRelayPeriod, unless this host has had
+// no lease since its start: after a restart of all hosts the leader was down a moment before, and
+// no host has a lease to relay with.
 func (a *Agent) followRedirect(addr string) error {
 	a.setLeader(addr)
 	if addr == "" {
@@ -446,7 +532,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if addr == a.unansweredAddr && a.Now().Sub(a.unansweredAt) < leaderRelayPeriod {
+	if addr == a.unansweredAddr && a.Now().Sub(a.unansweredAt) < leaderRelayPeriod && !a.hostLease.End().IsZero() {
 		a.relayVia = a.controlAddr
 	}
 	return errRedirect
--- a/internal/control/agent/agent_test.go
+++ b/internal/control/agent/agent_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -126,3 +127,96 @@
 		So(streams.Load(), ShouldBeLessThanOrEqualTo, 24)
 	})
 }
+
+// serveLeases serves lease streams at a free address until ctx ends, and returns the address.
+func serveLeases(t *testing.T, ctx context.Context, serve func(c *link.Conn)) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	served := (&link.Server{Listener: ln, Handlers: map[string]link.Handler{leader.LeaseService: func(_ context.Context, _ string, c *link.Conn) { serve(c) }}}).Run(ctx)
+	t.Cleanup(func() {
+		if err := <-served; err != nil {
+			t.Error(err)
+		}
+	})
+	return ln.Addr().String()
+}
+
+// grantLeases grants every renewal.
+func grantLeases(c *link.Conn) {
+	r := &wire.LeaseRenewal{}
+	for c.Recv(r) == nil {
+		if c.Send(&wire.LeaseGrant{Granted: true, Seq: r.Seq, Term: 1, Lease: uint64(time.Minute)}) != nil {
+			return
+		}
+	}
+}
+
+// timeToLease runs an agent and returns how long it takes to get a lease, at most two seconds.
+func timeToLease(ctx context.Context, peers []string, dial func(ctx context.Context, addr string) (net.Conn, error)) time.Duration {
+	a := &agent.Agent{
+		Host: "h", Registration: &wire.HostState{}, RenewInterval: 20 * time.Millisecond, Dialer: &link.Dialer{Host: "h", Timeout: 2 * time.Second, Dial: dial},
+		Log: logs.Discard(), Meter: meter.New(), Now: clock.Monotonic,
+	}
+	for _, addr := range peers {
+		a.Peers = append(a.Peers, conf.Peer{LinkAddr: addr})
+	}
+	a.Prepare()
+	ctx, cancel := context.WithCancel(ctx)
+	done := a.Run(ctx)
+	started := time.Now()
+	for !a.LeaseValid(clock.Monotonic()) && time.Since(started) < 2*time.Second {
+		time.Sleep(time.Millisecond)
+	}
+	took := time.Since(started)
+	cancel()
+	<-done
+	a.Dialer.Close()
+	return took
+}
+
+// TestHostsFindTheLeaderAfterARestart plays what an entry host meets when all hosts have lost power: control
+// hosts that are down, that refuse connections, that lost their disks, or that were down until just
+// before they were elected. It must have a lease well before one attempt to connect is given up.
+func TestHostsFindTheLeaderAfterARestart(t *testing.T) {
+	// bound is far above what the tries take, and below the dial timeout of 2 s.
+	const bound = 700 * time.Millisecond
+	Convey("Given a control leader and other control hosts that are of no use", t, func() {
+		ctx, cancel := context.WithCancel(t.Context())
+		t.Cleanup(cancel)
+		elected := serveLeases(t, ctx, grantLeases)
+		useless := serveLeases(t, ctx, func(c *link.Conn) {
+			if c.Recv(&wire.LeaseRenewal{}) == nil {
+				_ = c.Send(&wire.LeaseGrant{Reason: string(fault.NoLeader)})
+			}
+		})
+		dial := func(ctx context.Context, addr string) (net.Conn, error) {
+			if addr == "down" {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+		}
+		Convey("Hosts that do not answer delay it only briefly", func() {
+			So(timeToLease(ctx, []string{elected, "down", "down"}, dial), ShouldBeLessThan, bound)
+		})
+		Convey("Hosts without a log are passed over without a pause", func() {
+			So(timeToLease(ctx, []string{elected, useless, useless}, dial), ShouldBeLessThan, bound)
+		})
+		Convey("A leader that refused a connection a moment ago is asked directly when another host names it", func() {
+			naming := serveLeases(t, ctx, func(c *link.Conn) {
+				if c.Recv(&wire.LeaseRenewal{}) == nil {
+					_ = c.Send(&wire.LeaseGrant{Reason: string(fault.NoLeader), Leader: elected})
+				}
+			})
+			var refused atomic.Bool
+			took := timeToLease(ctx, []string{naming, elected}, func(ctx context.Context, addr string) (net.Conn, error) {
+				if addr == elected && refused.CompareAndSwap(false, true) {
+					return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+				}
+				return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+			})
+			So(took, ShouldBeLessThan, bound)
+			So(refused.Load(), ShouldBeTrue)
+		})
+	})
+}
