sess, topo: Serve fresh reads without a lease by proof of the primary

Hypothesis: a transaction that may write is opened only by a primary, so that a host that gets one opened needs no lease to know that a position is current. Change: position queries open such a transaction, and their positions are recorded without a lease, as are those of writes. A read that a host without a lease runs at a primary is followed by a position query on the same connection; equal positions, or both of the primary's own term, show that no write of another primary was missed, else it is tried again. Read-only transactions at the primary are opened as ones that may write; a write in them is refused by the session. Removed: the wait for a first lease, with its counter.

Ruled out: running the read inside a transaction of our own (statements of callers must not run in others' transactions); a proof before the read (the primary may be replaced in between).

--- a/internal/traffic/flow/flow.go
+++ b/internal/traffic/flow/flow.go
@@ -181,7 +181,8 @@
 	// PauseReplication stops a replica from receiving the log; ResumeReplication undoes it.
 	PauseReplication
 	ResumeReplication
-	// QueryPosition asks for the log position only and needs no admission slot.
+	// QueryPosition asks for the log position only and needs no admission slot. Only a primary
+	// answers it with success.
 	QueryPosition
 )
 
--- a/internal/traffic/pool/conn.go
+++ b/internal/traffic/pool/conn.go
@@ -176,11 +176,11 @@
 	return c.runAdmitted(timeout-c.pool.Now().Sub(start), values, req)
 }
 
-// runAdmitted runs a request that has been admitted. A position query runs as an empty read
-// transaction.
+// runAdmitted runs a request that has been admitted. A position query runs as an empty transaction
+// that may write, which only the primary opens.
 func (c *Conn) runAdmitted(timeout time.Duration, values flow.Values, req flow.Request) (flow.Answer, flow.Stage, error) {
 	if req.Op == flow.QueryPosition {
-		return c.roundTrip(timeout, flow.Request{Op: flow.BeginReadOnlyTx}, flow.Request{Op: flow.RollbackTx})
+		return c.roundTrip(timeout, flow.Request{Op: flow.BeginReadWriteTx}, flow.Request{Op: flow.RollbackTx})
 	}
 	if req.Op != flow.RollbackTx {
 		if err := c.applyValues(min(timeout, setupTimeout), values); err != nil {
--- a/internal/traffic/sess/execution.go
+++ b/internal/traffic/sess/execution.go
@@ -7,6 +7,7 @@
 	"github.com/agatespindle/agatespindle/internal/base/clock"
 	"github.com/agatespindle/agatespindle/internal/control/spec"
 	"github.com/agatespindle/agatespindle/internal/traffic/flow"
+	"github.com/agatespindle/agatespindle/internal/traffic/pool"
 	"github.com/agatespindle/agatespindle/internal/traffic/route"
 	"github.com/agatespindle/agatespindle/internal/traffic/token"
 	"github.com/agatespindle/agatespindle/internal/traffic/topo"
@@ -21,7 +22,8 @@
 	// needsPrimary is set if the statement must run at the primary.
 	needsPrimary bool
 	// fenced is set if a replaced primary itself refuses the statement: for writes and for
-	// transactions that are not read-only. Other statements at the primary require the host's lease.
+	// transactions that are not read-only. Other statements at the primary require the host's lease, or
+	// proof that the instance is still the primary.
 	fenced bool
 	// minPosition is the log position that a replica must have reached to serve the statement.
 	minPosition token.Position
@@ -101,49 +103,36 @@
 	if !e.needsPrimary {
 		e.minPosition, e.needsPrimary = e.requiredPosition(ctx, now)
 	}
-	if e.needsPrimary && !e.fenced && !topology.TermStillOpen(now, e.group) {
-		return nil, false
-	}
 	name, ok := e.session.mgr.Costs.Pick(route.Requirement{Primary: e.needsPrimary}, e.group.Candidates(now, e.excluded))
 	if !ok {
 		return nil, false
 	}
 	m := e.group.Member(name)
-	if name == e.group.Primary && !e.fenced && !topology.TermStillOpen(now, e.group) {
-		return e.chooseReplica(now)
-	}
 	return m, m != nil
 }
 
-// waitAndRetry waits for catchUpPollInterval, without using up a try, if a condition is likely to be
-// met soon: a reachable instance has been in backoff only briefly, or this host has just started and
-// waits for its first lease. It reports false if there is no such condition, or if waiting would
-// exceed the database's target latency.
+// leased reports whether this host's lease assures that the group's primary has not been replaced.
+func (e *execution) leased(now time.Time) bool {
+	return e.session.mgr.Topology.TermStillOpen(now, e.group)
+}
+
+// waitAndRetry waits for catchUpPollInterval, without using up a try, if a reachable instance has been
+// in backoff only briefly. It reports false if there is none, or if waiting would exceed the
+// database's target latency.
 func (e *execution) waitAndRetry(ctx context.Context) bool {
 	now := e.session.mgr.Now()
 	if e.fenced || now.Sub(e.started)+catchUpPollInterval > e.db.TargetLatency {
 		return false
 	}
-	switch {
-	case e.session.mgr.Topology.AwaitingFirstLease():
-		e.session.mgr.Meter.AddCounter("waited.lease", 1)
-	case e.group.CatchingUp(now, e.excluded):
-		e.session.mgr.Meter.AddCounter("waited.behind", 1)
-	default:
+	if !e.group.CatchingUp(now, e.excluded) {
 		return false
 	}
+	e.session.mgr.Meter.AddCounter("waited.behind", 1)
 	e.tries--
 	clock.Sleep(ctx, catchUpPollInterval)
 	return true
 }
 
-// chooseReplica chooses an instance other than the primary and excludes the primary from later tries.
-func (e *execution) chooseReplica(now time.Time) (*topo.Member, bool) {
-	e.exclude(e.group.Primary)
-	name, ok := e.session.mgr.Costs.Pick(route.Requirement{}, e.group.Candidates(now, e.excluded))
-	return e.group.Member(name), ok
-}
-
 // exclude removes an instance from the candidates for later tries.
 func (e *execution) exclude(name string) {
 	if e.excluded == nil {
@@ -200,7 +189,8 @@
 		req.MinPosition = e.minPosition
 	}
 	sent := e.session.mgr.Now()
-	answer, stage, err := conn.Run(e.answerTimeout(effect), e.session.values, req, true)
+	unproven := onPrimary && !e.fenced && !e.leased(sent)
+	answer, stage, err := conn.Run(e.answerTimeout(effect), e.session.values, req, !unproven)
 	now := e.session.mgr.Now()
 	if err != nil {
 		conn.Close()
@@ -208,24 +198,63 @@
 		e.recordFailure(m, stage, err.Error(), effect)
 		return e.handleMissingAnswer(effect)
 	}
+	if unproven && answer.Code == flow.OK {
+		return e.provePrimary(m, conn, answer)
+	}
 	conn.Release()
 	e.recordAnswer(now, m, answer)
 	if answer.Code != flow.OK {
 		return e.handleErrorAnswer(ctx, now, m, answer, effect)
 	}
 	if onPrimary && !e.fenced && !e.session.mgr.Topology.RecordPosition(now, sent, e.group, answer.Position) {
-		e.recordFailure(m, flow.Sent, "primary may have been replaced before it answered", effect)
+		e.recordFailure(m, flow.Sent, causePrimaryReplaced, effect)
 		return flow.Answer{}, false
 	}
 	if onPrimary && e.fenced {
-		e.session.mgr.Topology.RecordPosition(now, sent, e.group, answer.Position)
+		e.group.RecordProvenPosition(sent, answer.Position)
 		e.session.positions = e.session.positions.With(e.group.Name, answer.Position)
 	}
-	e.session.mgr.Meter.AddCounter("served."+roleName(onPrimary), 1)
+	return e.served(now, m, answer)
+}
+
+// served counts an answer that is passed on to the caller, and returns it.
+func (e *execution) served(now time.Time, m *topo.Member, answer flow.Answer) (flow.Answer, bool) {
+	e.session.mgr.Meter.AddCounter("served."+roleName(e.isPrimary(m)), 1)
 	e.logServed(now, m)
 	return answer, true
 }
 
+// causePrimaryReplaced is the logged cause of a failed try whose answer may miss acknowledged writes.
+const causePrimaryReplaced = "primary may have been replaced before it answered"
+
+// provePrimary returns the answer that the primary gave to a read of a host without a lease, if it can be
+// shown that the read has missed no acknowledged write: the primary is queried for its position
+// afterwards, which only a primary answers. It ends the use of the connection, and reports false
+// for another try.
+func (e *execution) provePrimary(m *topo.Member, conn pool.Handle, answer flow.Answer) (flow.Answer, bool) {
+	mgr := e.session.mgr
+	sent := mgr.Now()
+	proof, _, err := conn.Run(min(setupTimeout, max(time.Millisecond, e.remaining(sent))), e.session.values, flow.Request{Op: flow.QueryPosition}, true)
+	now := mgr.Now()
+	if err != nil {
+		conn.Close()
+	} else {
+		conn.Release()
+	}
+	if err != nil || proof.Code != flow.OK {
+		e.exclude(m.Instance)
+	}
+	if err != nil || proof.Code != flow.OK || !e.group.MissesNoWrite(answer.Position, proof.Position) {
+		mgr.Meter.AddCounter("tries.unproven", 1)
+		e.recordFailure(m, flow.Sent, causePrimaryReplaced, flow.Reads)
+		return flow.Answer{}, false
+	}
+	m.RecordSuccess()
+	mgr.Meter.AddCounter("served.proven", 1)
+	e.group.RecordProvenPosition(sent, proof.Position)
+	return e.served(now, m, answer)
+}
+
 // isPrimary reports whether an instance is the primary of the group's term, and that term is open,
 // according to the snapshot by which the instance was chosen.
 func (e *execution) isPrimary(m *topo.Member) bool {
--- a/internal/traffic/sess/transaction.go
+++ b/internal/traffic/sess/transaction.go
@@ -30,6 +30,11 @@
 // target latency of the database has passed.
 func (s *Session) runInTransaction(ctx context.Context, st flow.Statement, req flow.Request, effect flow.Effect) flow.Answer {
 	tx := s.tx
+	if tx.readOnly && effect == flow.Writes {
+		s.discardTransaction()
+		s.state = flow.InFailedTransaction
+		return flow.ErrorAnswer(flow.ReadOnly, s.state, "transaction is read-only")
+	}
 	if tx.conn == nil {
 		if refusal, ok := s.openTransaction(ctx, st); !ok {
 			return refusal
@@ -97,7 +102,8 @@
 
 // tryOpenOn tries to open the transaction on one instance and reports whether it is open. A
 // read-only transaction on the primary also requires that no failover can have taken place before
-// the answer; otherwise it could miss acknowledged writes.
+// the answer; otherwise it could miss acknowledged writes. A host without a lease opens it as one
+// that may write, which a replaced primary refuses.
 func (s *Session) tryOpenOn(ctx context.Context, e *execution, m *topo.Member) bool {
 	conn, err := m.Open(ctx, e.queueWaitLimit(), e.db.Priority)
 	if err != nil {
@@ -106,14 +112,15 @@
 		return false
 	}
 	onPrimary := e.isPrimary(m)
+	sent := s.mgr.Now()
 	req := flow.Request{Op: flow.BeginReadWriteTx}
-	if s.tx.readOnly {
+	if s.tx.readOnly && !(onPrimary && !e.leased(sent)) {
 		req.Op = flow.BeginReadOnlyTx
 	}
+	fenced := req.Op == flow.BeginReadWriteTx
 	if !onPrimary {
 		req.MinPosition = e.minPosition
 	}
-	sent := s.mgr.Now()
 	answer, _, err := conn.Run(min(setupTimeout, max(time.Millisecond, e.remaining(sent))), s.values, req, false)
 	now := s.mgr.Now()
 	switch {
@@ -131,13 +138,13 @@
 		e.recordFailure(m, flow.Answered, answer.Code.String(), flow.Reads)
 		e.lastVerdict = flow.VerdictFor(flow.Answered, flow.Reads, answer.Code)
 		return false
-	case onPrimary && !e.fenced && !s.mgr.Topology.RecordPosition(now, sent, e.group, answer.Position):
+	case onPrimary && !fenced && !s.mgr.Topology.RecordPosition(now, sent, e.group, answer.Position):
 		pool.Rollback(conn)
-		e.recordFailure(m, flow.Sent, "primary may have been replaced before it answered", flow.Reads)
+		e.recordFailure(m, flow.Sent, causePrimaryReplaced, flow.Reads)
 		return false
 	}
-	if onPrimary && e.fenced {
-		s.mgr.Topology.RecordPosition(now, sent, e.group, answer.Position)
+	if onPrimary && fenced {
+		e.group.RecordProvenPosition(sent, answer.Position)
 	}
 	s.mgr.Meter.AddCounter("transactions."+roleName(onPrimary), 1)
 	s.tx.conn, s.tx.member, s.tx.group = conn, m, e.group
--- a/internal/traffic/topo/position_query.go
+++ b/internal/traffic/topo/position_query.go
@@ -14,7 +14,8 @@
 
 // QueryPosition asks the primary of a group for its current log position, unless a query is already
 // pending. The channel is closed when the query ends; an answer has been recorded by then. A read
-// that a replica can serve then needs no slot of the primary, even if this host rarely uses it.
+// that a replica can serve then needs no slot of the primary, even if this host rarely uses it. The
+// answer proves that the instance is the primary, so that the query needs no lease.
 func (t *Topology) QueryPosition(g *Group) <-chan struct{} {
 	g.positions.mu.Lock()
 	defer g.positions.mu.Unlock()
@@ -37,7 +38,7 @@
 
 func (t *Topology) queryPosition(g *Group) {
 	m := g.Member(g.Primary)
-	if m == nil || !t.TermStillOpen(t.Now(), g) {
+	if m == nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), positionQueryTimeout)
@@ -55,7 +56,8 @@
 		return
 	}
 	h.Release()
-	if a.Code == flow.OK && t.RecordPosition(t.Now(), sent, g, a.Position) {
+	if a.Code == flow.OK {
+		g.RecordProvenPosition(sent, a.Position)
 		t.Meter.AddCounter("looks.done", 1)
 	}
 }
--- a/internal/traffic/topo/topology.go
+++ b/internal/traffic/topo/topology.go
@@ -184,10 +184,6 @@
 // Snapshot returns the current snapshot. It is empty, never nil, before the first manifest.
 func (t *Topology) Snapshot() *Snapshot { return t.snapshot.Load() }
 
-// AwaitingFirstLease reports whether the host has had no lease since its start. The first lease
-// arrives within some tens of milliseconds of the first manifest.
-func (t *Topology) AwaitingFirstLease() bool { return t.Agent.LeaseEnd().IsZero() }
-
 // Ready reports whether the host can serve callers: it holds a lease and knows a manifest.
 func (t *Topology) Ready(now time.Time) bool {
 	return t.Agent.LeaseValid(now) && t.Snapshot().ManifestNumber > 0
@@ -452,14 +448,32 @@
 	if !t.TermStillOpen(now, g) {
 		return false
 	}
-	if p != (token.Position{}) {
-		g.positions.mu.Lock()
-		g.positions.history.Record(sent, p)
-		g.positions.mu.Unlock()
-	}
+	g.RecordProvenPosition(sent, p)
 	return true
 }
 
+// RecordProvenPosition records a position that an instance reported, after sent, in an answer that only
+// a primary gives: to a write, or to the opening of a transaction that may write. The platform
+// takes the role away at the moment of a promotion, so no lease is needed. A zero position is not
+// recorded.
+func (g *Group) RecordProvenPosition(sent time.Time, p token.Position) {
+	if p == (token.Position{}) {
+		return
+	}
+	g.positions.mu.Lock()
+	defer g.positions.mu.Unlock()
+	g.positions.history.Record(sent, p)
+}
+
+// MissesNoWrite reports whether a read that the primary of g answered at the position read has missed
+// no acknowledged write, given the position current at which the instance was primary afterwards.
+// If the positions are equal, the read saw all that the primary had. If both are of the primary's
+// own term, no other instance has had writes acknowledged in between, since its positions would be
+// of a later term.
+func (g *Group) MissesNoWrite(read, current token.Position) bool {
+	return read == current || read.Term == g.PrimaryTerm && current.Term == g.PrimaryTerm
+}
+
 // TermStillOpen reports whether the term of g was open in the snapshot that g is from, is still
 // open, and the host holds a lease. If so, no later primary can have acknowledged a write. A term
 // that opened after that snapshot does not count: its primary may have been a replica when the
--- a/internal/traffic/topo/topology_test.go
+++ b/internal/traffic/topo/topology_test.go
@@ -172,3 +172,20 @@
 		So([]string{<-asked, <-asked}, ShouldResemble, []string{"borrowed from k", "opened"})
 	})
 }
+
+// TestMissesNoWrite checks when a read at an instance that was primary afterwards is fresh.
+func TestMissesNoWrite(t *testing.T) {
+	Convey("Given the primary of term 3 of its own count", t, func() {
+		g := &topo.Group{PrimaryTerm: 3}
+		at := func(term, position uint64) token.Position { return token.Position{Term: term, Position: position} }
+		Convey("A read is fresh if nothing was written since, or only by that primary in its term", func() {
+			So(g.MissesNoWrite(at(2, 7), at(2, 7)), ShouldBeTrue)
+			So(g.MissesNoWrite(at(3, 8), at(3, 9)), ShouldBeTrue)
+		})
+		Convey("It may miss writes of others if positions of another term lie in between", func() {
+			So(g.MissesNoWrite(at(2, 7), at(2, 8)), ShouldBeFalse)
+			So(g.MissesNoWrite(at(3, 8), at(4, 9)), ShouldBeFalse)
+			So(g.MissesNoWrite(at(2, 7), at(3, 8)), ShouldBeFalse)
+		})
+	})
+}
