queue, pool, lend: Serve the shortest statements first while an instance is overloaded

Statements of one priority waited in order of arrival, all for nearly as long as they may, and those refused came back too late.

Hypothesis: with more work than slots, the number of callers served in time is largest if the statements that take least go first. Change: an admission queue measures the service time of single statements by database. While the oldest statement of a class has waited for longer than a quarter of its patience, the database with the shortest statements goes first; otherwise order of arrival. The expected wait of a new statement counts only those that it does not overtake. Lend requests name the database. Urgent statements and open transactions keep their order.

--- a/internal/traffic/lend/lend.go
+++ b/internal/traffic/lend/lend.go
@@ -93,7 +93,7 @@
 	if m == nil || l.draining.Load() {
 		return nil, fault.New(fault.NotRun, fault.NoBackend, "this host does not lend connections to instance %s", req.Instance)
 	}
-	handle, err := m.OpenOwn(ctx, time.Duration(req.Patience), int(req.Rank))
+	handle, err := m.OpenOwn(ctx, time.Duration(req.Patience), pool.Priority{Rank: int(req.Rank), Database: req.Database})
 	if err != nil {
 		return nil, err
 	}
@@ -190,7 +190,7 @@
 // Open prepares to borrow a connection to an instance from the host at addr. The lender acquires the
 // connection with the first request, waiting at most waitLimit for a free one; a lower rank is
 // served first. Open fails if no stream to the host can be opened, or if it recently did not answer.
-func (b *Borrower) Open(addr, group, instance string, rank int, waitLimit time.Duration) (pool.Handle, error) {
+func (b *Borrower) Open(addr, group, instance string, prio pool.Priority, waitLimit time.Duration) (pool.Handle, error) {
 	if b.avoids(addr) {
 		return nil, errUnresponsive
 	}
@@ -204,7 +204,7 @@
 			return nil, err
 		}
 	}
-	return &borrowedConn{borrower: b, addr: addr, stream: c, openParams: &wire.LendRequest{Group: group, Instance: instance, Rank: int64(rank), Patience: int64(waitLimit)}}, nil
+	return &borrowedConn{borrower: b, addr: addr, stream: c, openParams: &wire.LendRequest{Group: group, Instance: instance, Rank: int64(prio.Rank), Database: prio.Database, Patience: int64(waitLimit)}}, nil
 }
 
 // avoids reports whether the host at addr is avoided at present.
@@ -344,7 +344,7 @@
 	lendReq := &wire.LendRequest{Limit: int64(timeout), Values: values.Pairs(), Question: requestToWire(req), Last: last}
 	streamTimeout := timeout + transitAllowance
 	if b.openParams != nil {
-		lendReq.Group, lendReq.Instance, lendReq.Rank, lendReq.Patience = b.openParams.Group, b.openParams.Instance, b.openParams.Rank, b.openParams.Patience
+		lendReq.Group, lendReq.Instance, lendReq.Rank, lendReq.Database, lendReq.Patience = b.openParams.Group, b.openParams.Instance, b.openParams.Rank, b.openParams.Database, b.openParams.Patience
 		streamTimeout += time.Duration(b.openParams.Patience)
 		b.openParams = nil
 	}
--- a/internal/traffic/pool/admission.go
+++ b/internal/traffic/pool/admission.go
@@ -39,7 +39,7 @@
 // at once.
 func newAdmission(slots int, now func() time.Time) *admission {
 	return &admission{
-		now: now, queue: queue.Queue{Slots: slots + extraInFlight, MaxWaiting: maxWaitingPerClass}, waiting: map[uint64]chan queue.Decision{},
+		now: now, queue: queue.Queue{Slots: slots + extraInFlight, MaxWaiting: maxWaitingPerClass, ShortestFirst: true}, waiting: map[uint64]chan queue.Decision{},
 	}
 }
 
@@ -50,8 +50,8 @@
 
 // newTicket returns the ticket of a statement that needs a slot before the deadline. Statements
 // inside a transaction are urgent, since the transaction has already used slots.
-func newTicket(rank int, inTransaction bool, deadline time.Time) queue.Ticket {
-	t := queue.Ticket{Class: classForRank(rank), Deadline: deadline, InTransaction: inTransaction}
+func newTicket(prio Priority, inTransaction bool, deadline time.Time) queue.Ticket {
+	t := queue.Ticket{Class: classForRank(prio.Rank), Caller: prio.Database, Deadline: deadline, InTransaction: inTransaction}
 	if inTransaction {
 		t.Class = spec.Urgent
 	}
@@ -62,8 +62,8 @@
 // statements that follow do. A transaction therefore gets the next lower class and a higher cost:
 // under load, several single statements are served for each transaction of the same rank. Urgent
 // transactions stay in the urgent class at normal cost.
-func beginTicket(rank int, deadline time.Time) queue.Ticket {
-	t := newTicket(rank, false, deadline)
+func beginTicket(prio Priority, deadline time.Time) queue.Ticket {
+	t := newTicket(prio, false, deadline)
 	if t.Class != spec.Urgent {
 		t.Class = min(t.Class+1, spec.Report)
 		t.Cost = assumedTransactionCost
--- a/internal/traffic/pool/admission_test.go
+++ b/internal/traffic/pool/admission_test.go
@@ -71,7 +71,7 @@
 
 // runRead runs one read of a rank and reports whether it succeeded.
 func runRead(p *pool.Pool, rank int, id string) bool {
-	c, err := p.Get(context.Background(), waitLimit, rank)
+	c, err := p.Get(context.Background(), waitLimit, pool.Priority{Rank: rank})
 	if err != nil {
 		return false
 	}
@@ -86,7 +86,7 @@
 
 // runTransaction runs five reads in a transaction and reports whether all succeeded.
 func runTransaction(p *pool.Pool, rank int, id string) bool {
-	c, err := p.Get(context.Background(), waitLimit, rank)
+	c, err := p.Get(context.Background(), waitLimit, pool.Priority{Rank: rank})
 	if err != nil {
 		return false
 	}
--- a/internal/traffic/pool/conn.go
+++ b/internal/traffic/pool/conn.go
@@ -52,8 +52,8 @@
 	// preparedNames holds the name of each statement prepared on the connection.
 	preparedNames map[preparedKey]string
 	idleSince     time.Time
-	// rank is the priority of the current use; a lower rank goes first.
-	rank int
+	// prio is the priority of the current use.
+	prio Priority
 	// slotDeadline is the latest time at which the first statement of the current use must get
 	// an admission slot.
 	slotDeadline time.Time
@@ -161,12 +161,12 @@
 // Run implements Handle. Setting session values and preparing statements takes no admission slot.
 func (c *Conn) Run(timeout time.Duration, values flow.Values, req flow.Request, _ bool) (flow.Answer, flow.Stage, error) {
 	start := c.pool.Now()
-	t := newTicket(c.rank, c.inTransaction, c.slotDeadline)
+	t := newTicket(c.prio, c.inTransaction, c.slotDeadline)
 	switch {
 	case c.inTransaction:
 		t.Deadline = start.Add(timeout)
 	case opensTransaction(req.Op):
-		t = beginTicket(c.rank, c.slotDeadline)
+		t = beginTicket(c.prio, c.slotDeadline)
 	}
 	release, ok := c.pool.admit(t, req.Op)
 	if !ok {
--- a/internal/traffic/pool/pool.go
+++ b/internal/traffic/pool/pool.go
@@ -121,12 +121,20 @@
 	unansweredSince time.Time
 }
 
+// Priority is the order in which requests get an instance's connections and slots.
+type Priority struct {
+	// Rank is the priority of the database; a lower rank goes first.
+	Rank int
+	// Database is the database of the request, or "" for requests of this host itself.
+	Database string
+}
+
 // UrgentRank is the lowest rank. It goes before all requests of callers.
 const UrgentRank = -1
 
 // waiter is a goroutine that waits for a connection.
 type waiter struct {
-	rank     int
+	prio     Priority
 	deadline time.Time
 	// done gets exactly one result, or none if the waiter gives up.
 	done chan connResult
@@ -253,12 +261,12 @@
 // done; a lower rank goes first. It returns a *fault.Error with the reason NoBackend if the instance
 // is unreachable, InstanceFull if it accepts no more connections and this host has none, and
 // Deadline if the wait ends without a connection.
-func (p *Pool) Get(ctx context.Context, waitLimit time.Duration, rank int) (*Conn, error) {
+func (p *Pool) Get(ctx context.Context, waitLimit time.Duration, prio Priority) (*Conn, error) {
 	now := p.Now()
 	p.mu.Lock()
 	if c := p.takeIdle(now); c != nil {
 		p.mu.Unlock()
-		return p.beginUse(c, rank, now.Add(waitLimit)), nil
+		return p.beginUse(c, prio, now.Add(waitLimit)), nil
 	}
 	if p.closed || p.down {
 		p.mu.Unlock()
@@ -268,7 +276,7 @@
 		p.mu.Unlock()
 		return nil, p.connLimitError()
 	}
-	w := &waiter{rank: rank, deadline: now.Add(waitLimit), done: make(chan connResult, 1)}
+	w := &waiter{prio: prio, deadline: now.Add(waitLimit), done: make(chan connResult, 1)}
 	p.enqueue(w)
 	p.dialForWaiting(now)
 	p.mu.Unlock()
@@ -314,20 +322,20 @@
 	if r.err != nil {
 		return nil, r.err
 	}
-	return p.beginUse(r.conn, w.rank, w.deadline), nil
+	return p.beginUse(r.conn, w.prio, w.deadline), nil
 }
 
 // beginUse marks a connection as in use.
-func (p *Pool) beginUse(c *Conn, rank int, slotDeadline time.Time) *Conn {
+func (p *Pool) beginUse(c *Conn, prio Priority, slotDeadline time.Time) *Conn {
 	p.load.Add(1)
-	c.rank, c.slotDeadline = rank, slotDeadline
+	c.prio, c.slotDeadline = prio, slotDeadline
 	return c
 }
 
 // enqueue inserts a waiter behind those of the same or a lower rank. The caller holds mu.
 func (p *Pool) enqueue(w *waiter) {
 	at := len(p.waiting)
-	for at > 0 && p.waiting[at-1].rank > w.rank {
+	for at > 0 && p.waiting[at-1].prio.Rank > w.prio.Rank {
 		at--
 	}
 	p.waiting = append(p.waiting, nil)
--- a/internal/traffic/pool/queued_handle.go
+++ b/internal/traffic/pool/queued_handle.go
@@ -13,7 +13,7 @@
 // connections serve running statements and open transactions.
 type queuedHandle struct {
 	pool *Pool
-	rank int
+	prio Priority
 	// deadline is the latest time at which the first request must get a slot and a connection.
 	deadline time.Time
 	// conn is nil until the first request is admitted.
@@ -25,9 +25,9 @@
 // NewHandle returns a handle to the instance; a lower rank goes first. With admission control, the
 // first Run waits for an admission slot and a connection until waitLimit has passed since this call.
 // Without it, NewHandle itself waits for a connection as Get does. Errors are those of Get.
-func (p *Pool) NewHandle(ctx context.Context, waitLimit time.Duration, rank int) (Handle, error) {
+func (p *Pool) NewHandle(ctx context.Context, waitLimit time.Duration, prio Priority) (Handle, error) {
 	if p.admissionControl() == nil {
-		c, err := p.Get(ctx, waitLimit, rank)
+		c, err := p.Get(ctx, waitLimit, prio)
 		if err != nil {
 			return nil, err
 		}
@@ -37,7 +37,7 @@
 	if err := p.checkAvailable(now); err != nil {
 		return nil, err
 	}
-	return &queuedHandle{pool: p, rank: rank, deadline: now.Add(waitLimit)}, nil
+	return &queuedHandle{pool: p, prio: prio, deadline: now.Add(waitLimit)}, nil
 }
 
 // checkAvailable returns an error if the instance currently can't give a connection.
@@ -65,7 +65,7 @@
 	}
 	defer release()
 	now := h.pool.Now()
-	c, err := h.pool.Get(context.Background(), h.deadline.Sub(now), h.rank)
+	c, err := h.pool.Get(context.Background(), h.deadline.Sub(now), h.prio)
 	if err != nil {
 		return flow.Answer{}, flow.Unsent, err
 	}
@@ -76,9 +76,9 @@
 // firstTicket returns the ticket of the handle's first request.
 func (h *queuedHandle) firstTicket(op flow.Op) queue.Ticket {
 	if opensTransaction(op) {
-		return beginTicket(h.rank, h.deadline)
+		return beginTicket(h.prio, h.deadline)
 	}
-	return newTicket(h.rank, false, h.deadline)
+	return newTicket(h.prio, false, h.deadline)
 }
 
 // Release implements Handle.
--- a/internal/traffic/pool/queued_handle_test.go
+++ b/internal/traffic/pool/queued_handle_test.go
@@ -36,7 +36,7 @@
 
 // runReadOnHandle runs one read on a new handle and reports whether it succeeded.
 func runReadOnHandle(p *pool.Pool, id string) bool {
-	h, err := p.NewHandle(context.Background(), 4*waitLimit, 2)
+	h, err := p.NewHandle(context.Background(), 4*waitLimit, pool.Priority{Rank: 2})
 	if err != nil {
 		return false
 	}
@@ -89,7 +89,7 @@
 		defer p.Shutdown()
 		var used []*pool.Conn
 		for range 8 {
-			c, err := p.Get(context.Background(), time.Second, 2)
+			c, err := p.Get(context.Background(), time.Second, pool.Priority{Rank: 2})
 			So(err, ShouldBeNil)
 			used = append(used, c)
 		}
--- a/internal/traffic/queue/class_queue.go
+++ b/internal/traffic/queue/class_queue.go
@@ -27,9 +27,13 @@
 }
 
 // pop removes and returns the first ticket of the next caller. The queue must not be empty.
-func (q *classQueue) pop() Ticket {
-	caller := q.callers[0]
-	q.callers = q.callers[1:]
+func (q *classQueue) pop() Ticket { return q.popOf(q.callers[0]) }
+
+// popOf removes and returns the first ticket of a caller, which must have one. The caller's next turn
+// comes last.
+func (q *classQueue) popOf(caller string) Ticket {
+	i := slices.Index(q.callers, caller)
+	q.callers = slices.Delete(q.callers, i, i+1)
 	list := q.byCaller[caller]
 	t := list[0]
 	q.count--
@@ -42,6 +46,20 @@
 	return t
 }
 
+// oldest returns the ticket that has waited longest. The queue must not be empty.
+func (q *classQueue) oldest() Ticket {
+	var oldest Ticket
+	for i, caller := range q.callers {
+		if t := q.byCaller[caller][0]; i == 0 || t.arrivedAt.Before(oldest.arrivedAt) {
+			oldest = t
+		}
+	}
+	return oldest
+}
+
+// popOldest removes and returns the ticket that has waited longest. The queue must not be empty.
+func (q *classQueue) popOldest() Ticket { return q.popOf(q.oldest().Caller) }
+
 func (q *classQueue) remove(id uint64) {
 	q.removeIf(func(t Ticket) bool { return t.ID == id })
 }
--- a/internal/traffic/queue/queue.go
+++ b/internal/traffic/queue/queue.go
@@ -3,6 +3,8 @@
 package queue
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/agatespindle/agatespindle/internal/base/fault"
@@ -24,6 +26,8 @@
 	// InTransaction is set for a request inside an open transaction. It is never refused on
 	// arrival, since the transaction already holds a connection.
 	InTransaction bool
+	// arrivedAt is when the ticket was enqueued.
+	arrivedAt time.Time
 	// Cost is the expected number of requests including this one, for instance of a whole
 	// transaction; zero counts as one. The class is charged for all of them.
 	Cost int
@@ -45,19 +49,27 @@
 	// ReservePeriod is how long after an urgent request one slot stays reserved: the Browse and
 	// Report classes can't use it.
 	ReservePeriod time.Duration
+	// ShortestFirst serves callers in order of arrival, and the caller with the shortest service time
+	// first while a class is overloaded. Without it callers take turns.
+	ShortestFirst bool
 
 	waiting [numClasses]classQueue
 	// pass is the stride scheduling pass of each class; the class with the lowest is next.
 	pass        [numClasses]int
 	running     map[uint64]runningRequest
 	meanService time.Duration
-	lastUrgent  time.Time
+	// callerService is the moving mean of the service time by caller, if ShortestFirst is set.
+	callerService map[string]time.Duration
+	lastUrgent    time.Time
 }
 
 // runningRequest is a request that occupies a slot.
 type runningRequest struct {
 	startedAt time.Time
 	class     spec.Class
+	caller    string
+	// single is set for a request outside of a transaction.
+	single bool
 }
 
 // stride is how far the pass of a class advances for each slot; a higher stride gives a smaller
@@ -77,6 +89,7 @@
 	if t.Class == spec.Urgent {
 		q.lastUrgent = now
 	}
+	t.arrivedAt = now
 	if reason := q.refusal(now, t); reason != "" {
 		return []Decision{{t.ID, reason}}
 	}
@@ -88,6 +101,21 @@
 	return q.dispatch(now, nil)
 }
 
+// overloadDivisor divides the time that the oldest ticket of a class may wait in all; the class is
+// overloaded once the ticket has waited for longer than the result.
+const overloadDivisor = 4
+
+// overloaded reports whether the requests of a class wait long enough that some of them will not be
+// served in time. Shortest first then serves the largest number of requests; the others wait until
+// the load falls or their deadline passes. Urgent requests are always served in order.
+func (q *Queue) overloaded(now time.Time, c spec.Class) bool {
+	if c == spec.Urgent || q.waiting[c].count == 0 {
+		return false
+	}
+	oldest := q.waiting[c].oldest()
+	return now.Sub(oldest.arrivedAt) > oldest.Deadline.Sub(oldest.arrivedAt)/overloadDivisor
+}
+
 // refusal returns the reason to refuse a new ticket, or "" to accept it.
 func (q *Queue) refusal(now time.Time, t Ticket) fault.Reason {
 	if t.InTransaction {
@@ -96,24 +124,41 @@
 	if q.waiting[t.Class].count >= q.MaxWaiting {
 		return fault.QueueFull
 	}
-	if now.Add(q.expectedWait(t.Class)).After(t.Deadline) {
+	if now.Add(q.expectedWait(now, t)).After(t.Deadline) {
 		return fault.Deadline
 	}
 	return ""
 }
 
-// expectedWait estimates the queue wait of a new ticket of a class from the mean service time.
-func (q *Queue) expectedWait(c spec.Class) time.Duration {
-	ahead := 0
-	for i := range spec.Class(numClasses) {
-		if i <= c {
-			ahead += q.waiting[i].count
+// expectedWait estimates the queue wait of a new ticket from the service times of those ahead of it.
+func (q *Queue) expectedWait(now time.Time, t Ticket) time.Duration {
+	ahead, work := 0, q.meanService
+	for c := range spec.Class(numClasses) {
+		if c > t.Class {
+			break
+		}
+		overtakes := c == t.Class && q.ShortestFirst && q.overloaded(now, c)
+		for caller, list := range q.waiting[c].byCaller {
+			if overtakes && q.serviceTime(caller) > q.serviceTime(t.Caller) {
+				continue
+			}
+			ahead += len(list)
+			work += time.Duration(len(list)) * q.serviceTime(caller)
 		}
 	}
 	if ahead == 0 && len(q.running) < q.Slots {
 		return 0
 	}
-	return time.Duration(ahead+1) * q.meanService / time.Duration(q.Slots)
+	return work / time.Duration(q.Slots)
+}
+
+// serviceTime returns the mean service time of a caller's requests, or of all requests if it is not
+// known.
+func (q *Queue) serviceTime(caller string) time.Duration {
+	if d, ok := q.callerService[caller]; ok {
+		return d
+	}
+	return q.meanService
 }
 
 // minPass returns the lowest pass of the classes with waiting tickets, or zero if there are none.
@@ -133,7 +178,7 @@
 func (q *Queue) Release(now time.Time, id uint64) []Decision {
 	if r, ok := q.running[id]; ok {
 		delete(q.running, id)
-		q.recordServiceTime(now.Sub(r.startedAt))
+		q.recordServiceTime(r, now.Sub(r.startedAt))
 	} else {
 		for c := range q.waiting {
 			q.waiting[c].remove(id)
@@ -142,13 +187,28 @@
 	return q.dispatch(now, nil)
 }
 
-// recordServiceTime adds a sample to the mean service time.
-func (q *Queue) recordServiceTime(took time.Duration) {
-	if q.meanService == 0 {
-		q.meanService = took
+// recordServiceTime adds a sample to the mean service times.
+func (q *Queue) recordServiceTime(r runningRequest, took time.Duration) {
+	q.meanService = smoothed(q.meanService, took)
+	if !q.ShortestFirst || !r.single {
 		return
 	}
-	q.meanService += (took - q.meanService) / smoothingDivisor
+	if q.callerService == nil || len(q.callerService) >= maxCallers {
+		q.callerService = map[string]time.Duration{}
+	}
+	q.callerService[r.caller] = smoothed(q.callerService[r.caller], took)
+}
+
+// maxCallers is the maximum number of callers whose service times are kept; beyond it they are
+// measured anew.
+const maxCallers = 1024
+
+// smoothed returns the moving mean after a sample; a mean of zero has no samples yet.
+func smoothed(mean, sample time.Duration) time.Duration {
+	if mean == 0 {
+		return sample
+	}
+	return mean + (sample-mean)/smoothingDivisor
 }
 
 // Expire refuses the tickets whose deadline has passed and returns the resulting decisions.
@@ -169,14 +229,26 @@
 		if !ok {
 			return out
 		}
-		t := q.waiting[c].pop()
+		t := q.next(now, c)
 		q.pass[c] += stride[c] * max(1, t.Cost)
-		q.running[t.ID] = runningRequest{now, c}
+		q.running[t.ID] = runningRequest{startedAt: now, class: c, caller: t.Caller, single: !t.InTransaction && t.Cost == 0}
 		out = append(out, Decision{ID: t.ID})
 	}
 	return out
 }
 
+// next removes and returns the ticket of a class that gets the next slot.
+func (q *Queue) next(now time.Time, c spec.Class) Ticket {
+	cq := &q.waiting[c]
+	switch {
+	case !q.ShortestFirst:
+		return cq.pop()
+	case !q.overloaded(now, c):
+		return cq.popOldest()
+	}
+	return cq.popOf(slices.MinFunc(cq.callers, func(a, b string) int { return cmp.Compare(q.serviceTime(a), q.serviceTime(b)) }))
+}
+
 // nextClass returns the class that gets the next slot, and false if no class can use one.
 func (q *Queue) nextClass(now time.Time) (spec.Class, bool) {
 	if q.waiting[spec.Urgent].count > 0 {
--- a/internal/traffic/sess/execution.go
+++ b/internal/traffic/sess/execution.go
@@ -178,7 +178,7 @@
 
 // try runs the statement at an instance. It reports false if another try should follow.
 func (e *execution) try(ctx context.Context, m *topo.Member, req flow.Request, effect flow.Effect) (flow.Answer, bool) {
-	conn, err := m.Open(ctx, e.queueWaitLimit(), e.db.Priority)
+	conn, err := m.Open(ctx, e.queueWaitLimit(), e.priority())
 	if err != nil {
 		e.exclude(m.Instance)
 		e.recordFailure(m, flow.Unsent, err.Error(), effect)
@@ -276,6 +276,11 @@
 	return min(e.remaining(now), max(minQueueWait, e.db.TargetLatency/queueWaitDivisor-now.Sub(e.started)))
 }
 
+// priority returns the order of the statement among others that wait for the same instance.
+func (e *execution) priority() pool.Priority {
+	return pool.Priority{Rank: e.db.Priority, Database: e.db.Name}
+}
+
 // answerTimeout returns how long to wait for the answer. A read that a replica can serve has a shorter
 // timeout, because another instance can be tried; a write can only run at the primary.
 func (e *execution) answerTimeout(effect flow.Effect) time.Duration {
--- a/internal/traffic/topo/borrow.go
+++ b/internal/traffic/topo/borrow.go
@@ -16,7 +16,7 @@
 	member *Member
 	// lenders are the addresses of the hosts that have not been asked yet.
 	lenders []string
-	rank    int
+	prio    pool.Priority
 	// deadline ends the wait for a connection.
 	deadline time.Time
 	// handle is the connection in use: a borrowed one, or one of this host's own pool. It is nil
@@ -32,9 +32,9 @@
 
 // borrow returns a handle on a connection from one of the lenders, which are asked in order. It counts
 // as load until it is released or closed.
-func (m *Member) borrow(lenders []string, waitLimit time.Duration, rank int) *borrowedHandle {
+func (m *Member) borrow(lenders []string, waitLimit time.Duration, prio pool.Priority) *borrowedHandle {
 	m.AddLoad(1)
-	return &borrowedHandle{member: m, lenders: lenders, rank: rank, deadline: m.topology.Now().Add(waitLimit)}
+	return &borrowedHandle{member: m, lenders: lenders, prio: prio, deadline: m.topology.Now().Add(waitLimit)}
 }
 
 // Run implements pool.Handle.
@@ -68,7 +68,7 @@
 		addr := b.lenders[0]
 		b.lenders = b.lenders[1:]
 		waitLimit := max(0, b.deadline.Sub(b.member.topology.Now()))
-		h, err := b.member.topology.Borrow(addr, b.member.Group, b.member.Instance, b.rank, waitLimit)
+		h, err := b.member.topology.Borrow(addr, b.member.Group, b.member.Instance, b.prio, waitLimit)
 		if err == nil {
 			b.handle = h
 			b.member.state.lastLender.Store(&addr)
@@ -86,7 +86,7 @@
 	now := b.member.topology.Now()
 	if !b.triedOwn && now.Before(b.deadline) {
 		b.triedOwn = true
-		h, err := b.member.OpenOwn(context.Background(), b.deadline.Sub(now), b.rank)
+		h, err := b.member.OpenOwn(context.Background(), b.deadline.Sub(now), b.prio)
 		if err == nil {
 			b.handle = h
 			return nil
--- a/internal/traffic/topo/lenders.go
+++ b/internal/traffic/topo/lenders.go
@@ -154,22 +154,22 @@
 
 // OpenOwn acquires a connection from this host's own pool, waiting at most waitLimit for a free one; a
 // lower rank is served first.
-func (m *Member) OpenOwn(ctx context.Context, waitLimit time.Duration, rank int) (pool.Handle, error) {
-	return m.NewHandle(ctx, waitLimit, rank)
+func (m *Member) OpenOwn(ctx context.Context, waitLimit time.Duration, prio pool.Priority) (pool.Handle, error) {
+	return m.NewHandle(ctx, waitLimit, prio)
 }
 
 // Open acquires a connection to the instance from this host's own pool or from another host. It waits
 // at most waitLimit for a free one, which for a borrowed connection happens in the first request. A
 // lower rank is served first.
-func (m *Member) Open(ctx context.Context, waitLimit time.Duration, rank int) (pool.Handle, error) {
+func (m *Member) Open(ctx context.Context, waitLimit time.Duration, prio pool.Priority) (pool.Handle, error) {
 	if len(m.lenders) > 0 {
-		return m.borrow(m.lenderOrder(), waitLimit, rank), nil
+		return m.borrow(m.lenderOrder(), waitLimit, prio), nil
 	}
-	h, err := m.OpenOwn(ctx, waitLimit, rank)
+	h, err := m.OpenOwn(ctx, waitLimit, prio)
 	if err == nil || fault.From(err).Reason != fault.InstanceFull || len(m.fallbackLenders) == 0 {
 		return h, err
 	}
-	return m.borrow(m.fallbackOrder(), waitLimit, rank), nil
+	return m.borrow(m.fallbackOrder(), waitLimit, prio), nil
 }
 
 // lenderOrder returns the lenders in the order in which they are asked: control hosts in an order that
--- a/internal/traffic/topo/lenders_test.go
+++ b/internal/traffic/topo/lenders_test.go
@@ -33,7 +33,7 @@
 	a.Prepare()
 	topology := &topo.Topology{
 		Host: "e0", Center: "c0", Agent: a, Log: logs.Discard(), Meter: meter.New(), Now: time.Now,
-		Borrow: func(string, string, string, int, time.Duration) (pool.Handle, error) {
+		Borrow: func(string, string, string, pool.Priority, time.Duration) (pool.Handle, error) {
 			return nil, errors.New("unused")
 		},
 	}
--- a/internal/traffic/topo/position_query.go
+++ b/internal/traffic/topo/position_query.go
@@ -43,7 +43,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), positionQueryTimeout)
 	defer cancel()
-	h, err := m.Open(ctx, positionQueryTimeout, pool.UrgentRank)
+	h, err := m.Open(ctx, positionQueryTimeout, pool.Priority{Rank: pool.UrgentRank})
 	if err != nil {
 		t.Meter.AddCounter("looks.failed", 1)
 		return
--- a/internal/traffic/topo/topology.go
+++ b/internal/traffic/topo/topology.go
@@ -64,7 +64,7 @@
 	Meter   *meter.Meter
 	// Borrow, if set, borrows a connection to an instance from the host at addr, waiting at most
 	// waitLimit for a free one; a lower rank is served first.
-	Borrow func(addr, group, instance string, rank int, waitLimit time.Duration) (pool.Handle, error)
+	Borrow func(addr, group, instance string, prio pool.Priority, waitLimit time.Duration) (pool.Handle, error)
 	// Now returns the current time; tests replace it.
 	Now func() time.Time
 
--- a/internal/traffic/topo/topology_test.go
+++ b/internal/traffic/topo/topology_test.go
@@ -100,7 +100,7 @@
 		now := time.Unix(1000, 0)
 		topology := &topo.Topology{
 			Host: "core", Center: "a", LendOnly: true, Agent: a, Log: logs.Discard(), Meter: meter.New(), Now: func() time.Time { return now },
-			Borrow: func(string, string, string, int, time.Duration) (pool.Handle, error) {
+			Borrow: func(string, string, string, pool.Priority, time.Duration) (pool.Handle, error) {
 				return nil, errors.New("unused")
 			},
 		}
@@ -118,7 +118,7 @@
 			{Kind: string(spec.Backends), Name: "i", Revision: 1, Backend: &wire.BackendState{Group: "g", Addr: "h:1", Center: "a", Slots: 2}},
 			{Kind: string(spec.Hosts), Name: "core", Revision: 1, Host: &wire.HostState{Center: "a", Roles: []string{string(conf.RoleControl)}}},
 		}))
-		_, err := topology.Member("g", "i").Get(t.Context(), time.Second, 1)
+		_, err := topology.Member("g", "i").Get(t.Context(), time.Second, pool.Priority{Rank: 1})
 		So(err, ShouldNotBeNil)
 		So(a.PrimaryHealth(now), ShouldBeEmpty)
 		now = now.Add(time.Second)
@@ -140,7 +140,7 @@
 		asked := make(chan string, 16)
 		topology := &topo.Topology{
 			Host: "e0", Center: "a", Agent: a, Log: logs.Discard(), Meter: meter.New(), Now: time.Now,
-			Borrow: func(addr, _, _ string, _ int, _ time.Duration) (pool.Handle, error) {
+			Borrow: func(addr, _, _ string, _ pool.Priority, _ time.Duration) (pool.Handle, error) {
 				asked <- "borrowed from " + addr
 				return nil, errors.New("unreachable")
 			},
@@ -165,7 +165,7 @@
 			list = append(list, &wire.Resource{Kind: string(spec.Hosts), Name: name, Revision: 1, Host: &wire.HostState{Center: "a", Link: name, Roles: []string{string(conf.RoleEntry)}}})
 		}
 		a.OnView(agent.NewView(1, list))
-		h, err := topology.Member("g", "i").Open(t.Context(), time.Second, 1)
+		h, err := topology.Member("g", "i").Open(t.Context(), time.Second, pool.Priority{Rank: 1})
 		So(err, ShouldBeNil)
 		_, _, err = h.Run(time.Second, flow.Values{}, flow.Request{ID: "1", Text: "READ x"}, true)
 		So(err, ShouldNotBeNil)
