quorum, driver: Elect a leader at once when the former one lost its disk

Hypothesis: the wait is for a process that has ended, and its address tells so: a host with an empty disk starts under a new identity, and two processes cannot listen at one address. Change: a voter that has known no leader since its start asks the former leader's address for its identity, every 50 ms. Another identity ends the wait; vote requests carry it to the other voters, which campaign a quarter of a heartbeat apart. A refused or unanswered connection proves nothing and changes nothing.

Ruled out: announcements by the host that lost its disk (one that was delayed could name an identity older than the leader's; an answer to a question asked now cannot), and a shorter election timeout.

--- a/internal/control/driver/driver.go
+++ b/internal/control/driver/driver.go
@@ -66,6 +66,9 @@
 	Healthy map[string]bool
 	// LastContact is when this host last received a message from a leader.
 	LastContact time.Time
+	// LeaseHolder is the other control host that may hold a lease which this host confirmed; nil if
+	// there is none.
+	LeaseHolder *wire.Member
 }
 
 // Driver runs one control host. The exported fields must be set before Prepare.
@@ -150,6 +153,8 @@
 	done := make(chan error, 1)
 	go func() {
 		ctx, cancel := context.WithCancel(ctx)
+		d.wg.Add(1)
+		go d.probeLeaseHolder(ctx)
 		err := d.runWithDiskRecovery(ctx)
 		cancel()
 		d.wg.Wait()
@@ -349,6 +354,7 @@
 		Role: d.core.Role(), Term: d.core.Term(), Leader: d.core.Leader(), Leading: d.core.Leading(),
 		LeaseUntil: d.core.LeaseUntil(), ElectedAt: d.core.ElectedAt(), CommitIndex: d.core.CommitIndex(),
 		Members: d.core.Members(), FailureTolerance: d.core.FailureTolerance(), LastContact: d.core.LastContact(),
+		LeaseHolder: d.core.LeaseHolder(),
 	}
 	if s.Role == quorum.Leader {
 		s.CaughtUp = map[string]bool{}
--- a/internal/control/quorum/core.go
+++ b/internal/control/quorum/core.go
@@ -85,6 +85,8 @@
 	// leaseHolder is the leader that may hold a lease which this host confirmed at lastContact.
 	// After a restart it is the leader of the stored term, or "" if unknown.
 	leaseHolder string
+	// endedHolder is a leader whose process is known to have ended, and with it its lease.
+	endedHolder string
 	// wasLeader is set after a restart if this host led the latest term, until it wins an
 	// election or becomes a follower.
 	wasLeader        bool
@@ -273,6 +275,15 @@
 	return p != nil && p.ackedRound+maxMissedRounds >= c.round
 }
 
+// LeaseHolder returns the member that may hold a lease which this host confirmed, or nil if it is
+// unknown, this host itself, or known to have ended.
+func (c *Core) LeaseHolder() *wire.Member {
+	if c.leaseHolder == c.opt.ID || c.holderEnded() {
+		return nil
+	}
+	return c.members[c.leaseHolder]
+}
+
 // LastContact returns when a message of a leader last arrived, at first when this host started.
 func (c *Core) LastContact() time.Time { return c.lastContact }
 
--- a/internal/control/quorum/core__elect.go
+++ b/internal/control/quorum/core__elect.go
@@ -71,7 +71,7 @@
 		}
 		c.send(&wire.QuorumMessage{
 			Kind: kind, To: id, Term: term, Force: force,
-			Index: c.log.lastIndex(), Logterm: c.log.lastTerm(),
+			Index: c.log.lastIndex(), Logterm: c.log.lastTerm(), Ended: c.endedHolder,
 		})
 	}
 }
@@ -184,10 +184,12 @@
 // handleVoteRequest grants a vote or pre-vote to a candidate whose log is at least as up to date
 // as this one. It ignores the request while this host leads with a quorum, and within one
 // election timeout of the last contact from another leader: leases rely on this. The lease holder
-// itself may ask, as it has given up its lease by then. Requests with Force, from a leadership
-// transfer, skip the check.
+// itself may ask, as it has given up its lease by then, and anybody may once its process is known to
+// have ended. Requests with Force, from a leadership transfer, skip the check.
 func (c *Core) handleVoteRequest(now time.Time, m *wire.QuorumMessage) {
-	mayBeLeased := (c.role == Leader && !c.lostQuorum(now)) || (now.Sub(c.lastContact) < c.opt.ElectionTimeout && m.From != c.leaseHolder)
+	c.recordEnded(now, m.Ended)
+	holderMayLive := m.From != c.leaseHolder && !c.holderEnded()
+	mayBeLeased := (c.role == Leader && !c.lostQuorum(now)) || (now.Sub(c.lastContact) < c.opt.ElectionTimeout && holderMayLive)
 	if mayBeLeased && !m.Force {
 		return
 	}
@@ -209,6 +211,46 @@
 	c.send(&wire.QuorumMessage{Kind: wire.MessageKind_VOTED, To: m.From, Reject: !granted})
 }
 
+// handleReplaced records that the process of the lease holder has ended, if another one now runs at its
+// address. That is so after the host has lost its disk.
+func (c *Core) handleReplaced(now time.Time, m *wire.Member) {
+	holder := c.members[c.leaseHolder]
+	if holder.GetAddr() != "" && holder.GetAddr() == m.GetAddr() && m.GetId() != c.leaseHolder {
+		c.recordEnded(now, c.leaseHolder)
+	}
+}
+
+// holderEnded reports whether the process of the lease holder is known to have ended.
+func (c *Core) holderEnded() bool { return c.endedHolder != "" && c.endedHolder == c.leaseHolder }
+
+// recordEnded records that the process of the leader id has ended, and has this host campaign soon if
+// that leader held the lease. Voters campaign a quarter of a heartbeat interval apart, so that their
+// votes are not split.
+func (c *Core) recordEnded(now time.Time, id string) {
+	if id == "" || c.endedHolder == id || c.role == Leader {
+		return
+	}
+	c.endedHolder = id
+	if !c.holderEnded() || !c.isVoter(c.opt.ID) {
+		return
+	}
+	deadline := now.Add(time.Duration(c.rank()) * c.opt.HeartbeatInterval / 4)
+	if deadline.Before(c.electionDeadline) {
+		c.electionDeadline = deadline
+	}
+}
+
+// rank returns the number of voters whose identities sort before this host's.
+func (c *Core) rank() int {
+	n := 0
+	for id := range c.members {
+		if id < c.opt.ID && c.isVoter(id) {
+			n++
+		}
+	}
+	return n
+}
+
 // candidateUpToDate reports whether the candidate's log is at least as up to date as this one,
 // by the term and then the index of the last entry.
 func (c *Core) candidateUpToDate(m *wire.QuorumMessage) bool {
--- a/internal/control/quorum/event.go
+++ b/internal/control/quorum/event.go
@@ -37,6 +37,10 @@
 // dropped from memory.
 type Compact struct{ Snapshot Snapshot }
 
+// Replaced reports that a process with the identity Member.Id now runs at Member.Addr. The process that
+// had another identity at that address has ended.
+type Replaced struct{ Member *wire.Member }
+
 // TransferLeadership asks the leader to hand over to a caught-up voter at once. It has no effect
 // if there is none or if this host does not lead.
 type TransferLeadership struct{}
@@ -104,4 +108,6 @@
 
 func (e Compact) step(_ time.Time, c *Core) { c.log = c.log.compactedTo(e.Snapshot) }
 
+func (e Replaced) step(now time.Time, c *Core) { c.handleReplaced(now, e.Member) }
+
 func (TransferLeadership) step(now time.Time, c *Core) { c.startLeadershipTransfer(now) }
--- a/internal/tools/host/control.go
+++ b/internal/tools/host/control.go
@@ -59,6 +59,7 @@
 	h.control = c
 	h.links.Handlers[driver.BootstrapService] = c.bootstrap.Serve
 	h.links.Handlers[driver.QuorumService] = c.whenReady(c.driver.Serve)
+	h.links.Handlers[driver.IdentityService] = c.whenReady(c.driver.ServeIdentity)
 	h.links.Handlers[leader.LeaseService] = c.whenReady(c.leader.ServeLease)
 	h.links.Handlers[leader.CallService] = c.serveCall
 	return nil
--- a/internal/tools/node/control.go
+++ b/internal/tools/node/control.go
@@ -77,6 +77,7 @@
 	c.leader.Prepare()
 	c.api = &platform.ControlAPI{Intake: &intake.Forwarder{Agent: n.Agent, Log: n.Log, Meter: n.Meter}, Log: n.Log, Meter: n.Meter}
 	n.links.Handlers[driver.QuorumService] = c.driver.Serve
+	n.links.Handlers[driver.IdentityService] = c.driver.ServeIdentity
 	n.links.Handlers[leader.LeaseService] = c.leader.ServeLease
 	n.links.Handlers[leader.CallService] = c.leader.ServeCall
 	n.control = c
--- a/internal/tools/node/malformed_integration_test.go
+++ b/internal/tools/node/malformed_integration_test.go
@@ -69,11 +69,12 @@
 			return b
 		}
 		services := map[string]func() proto.Message{
-			driver.QuorumService: func() proto.Message { return &wire.QuorumMessage{} },
-			leader.LeaseService:  func() proto.Message { return &wire.LeaseRenewal{} },
-			leader.CallService:   func() proto.Message { return &wire.ControlRequest{Method: "member"} },
-			agent.RelayService:   func() proto.Message { return &wire.LeaseRenewal{} },
-			lend.Service:         func() proto.Message { return &wire.LendRequest{} },
+			driver.QuorumService:   func() proto.Message { return &wire.QuorumMessage{} },
+			driver.IdentityService: func() proto.Message { return &wire.Member{} },
+			leader.LeaseService:    func() proto.Message { return &wire.LeaseRenewal{} },
+			leader.CallService:     func() proto.Message { return &wire.ControlRequest{Method: "member"} },
+			agent.RelayService:     func() proto.Message { return &wire.LeaseRenewal{} },
+			lend.Service:           func() proto.Message { return &wire.LendRequest{} },
 		}
 		Convey("It still serves writes after malformed messages to all hosts", func() {
 			for _, addr := range []string{c.ip(0) + ":7440", c.ip(1) + ":7440", c.ip(2) + ":7440", c.ip(50) + ":7440"} {
