topo, agent: Do not take unknown positions for equal ones

Found on reading: two unknown positions are equal, so that a read without a lease would have counted as proved if an instance reported no position. The check is in TestMissesNoWrite, which fails without it. A comment says why another try for a lease forgets the named leader.

--- a/internal/control/agent/agent.go
+++ b/internal/control/agent/agent.go
@@ -324,6 +324,7 @@
 			}
 		case <-tick.C:
 			if started < maxConcurrentOpens {
+				// The named leader, if any, is the one that does not answer.
 				a.setLeader("")
 				start()
 			}
--- a/internal/traffic/topo/topology.go
+++ b/internal/traffic/topo/topology.go
@@ -469,8 +469,11 @@
 // no acknowledged write, given the position current at which the instance was primary afterwards.
 // If the positions are equal, the read saw all that the primary had. If both are of the primary's
 // own term, no other instance has had writes acknowledged in between, since its positions would be
-// of a later term.
+// of a later term. An unknown position shows nothing.
 func (g *Group) MissesNoWrite(read, current token.Position) bool {
+	if read == (token.Position{}) {
+		return false
+	}
 	return read == current || read.Term == g.PrimaryTerm && current.Term == g.PrimaryTerm
 }
 
--- a/internal/traffic/topo/topology_test.go
+++ b/internal/traffic/topo/topology_test.go
@@ -186,6 +186,7 @@
 			So(g.MissesNoWrite(at(2, 7), at(2, 8)), ShouldBeFalse)
 			So(g.MissesNoWrite(at(3, 8), at(4, 9)), ShouldBeFalse)
 			So(g.MissesNoWrite(at(2, 7), at(3, 8)), ShouldBeFalse)
+			So(g.MissesNoWrite(at(0, 0), at(0, 0)), ShouldBeFalse)
 		})
 	})
 }
