--- a/internal/traffic/sess/execution.go
+++ b/internal/traffic/sess/execution.go
@@ -241,10 +241,11 @@
 	} else {
 		conn.Release()
 	}
-	if err != nil || proof.Code != flow.OK {
+	stillPrimary := err == nil && proof.Code == flow.OK
+	if !stillPrimary {
 		e.exclude(m.Instance)
 	}
-	if err != nil || proof.Code != flow.OK || !e.group.MissesNoWrite(answer.Position, proof.Position) {
+	if !stillPrimary || !e.group.MissesNoWrite(answer.Position, proof.Position) {
 		mgr.Meter.AddCounter("tries.unproven", 1)
 		e.recordFailure(m, flow.Sent, causePrimaryReplaced, flow.Reads)
 		return flow.Answer{}, false
