--- /dev/null
+++ b/internal/control/group/leaving_test.go
@@ -0,0 +1,104 @@
+package group_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/agatespindle/agatespindle/internal/base/wire"
+	"github.com/agatespindle/agatespindle/internal/control/group"
+)
+
+const (
+	// leavingBound is how long after its announcement an instance that leaves may get requests.
+	leavingBound = 7 * time.Second
+	// stepInterval is the interval of the leader's rounds.
+	stepInterval = 20 * time.Millisecond
+)
+
+// leavingSimulation is a group in virtual time whose primary p announces at startTime that it leaves.
+type leavingSimulation struct {
+	*platformSimulation
+	// answers reports whether an instance answers a status query at a time.
+	answers func(name string, at time.Time) bool
+	// usable is how long the term of p was open, and lastUsable the last time at which it was.
+	usable     time.Duration
+	lastUsable time.Time
+}
+
+// view returns what the leader knows at the present time.
+func (s *leavingSimulation) view() group.PlatformView {
+	v := s.platformSimulation.view("x", false)
+	for i := range v.Candidates {
+		v.Candidates[i].Draining = v.Candidates[i].Name == "p"
+	}
+	return v
+}
+
+// run steps the leader of the group for d.
+func (s *leavingSimulation) run(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(stepInterval) {
+		for _, a := range s.failovers["x"].Step(s.now, s.view()) {
+			s.perform(a)
+		}
+		if s.state.Phase == wire.Phase_OPEN && s.state.Primary == "p" {
+			s.usable += stepInterval
+			s.lastUsable = s.now
+		}
+	}
+}
+
+// perform applies commands at once, and lets the platform and the instances answer at once.
+func (s *leavingSimulation) perform(a group.Action) {
+	switch a := a.(type) {
+	case group.Propose:
+		s.apply(a.Command)
+	case group.QueryStatus:
+		if s.answers(a.Instance, s.now) {
+			s.statuses[a.Instance] = group.InstanceStatus{
+				QueriedAt: s.now, Primary: a.Instance == s.primary, PrimaryTerm: s.primaryTerm, Received: group.LogPosition{Term: 1, Number: 9},
+			}
+		}
+	case group.RequestPromotion:
+		s.promotions["x"][a.FenceToken] = group.PromotionDeclined
+		if s.answers(a.Instance, s.now) && s.deliver(promotionRequest{a.Instance, a.FenceToken}) {
+			s.promotions["x"][a.FenceToken] = group.PromotionConfirmed
+		}
+	}
+}
+
+// newLeavingSimulation returns a simulation in which p alone answers for the first 12 s.
+func newLeavingSimulation() *leavingSimulation {
+	s := &leavingSimulation{platformSimulation: newPlatformSimulation()}
+	s.answers = func(name string, at time.Time) bool { return name == "p" || at.Sub(startTime) > 12*time.Second }
+	return s
+}
+
+// TestHandOverWithoutSuccessorIsNotBegun guards against terms that are ended again and again, and a
+// group that serves nothing, because no instance can take over from a leaving primary.
+func TestHandOverWithoutSuccessorIsNotBegun(t *testing.T) {
+	Convey("Given a leaving primary whose replicas are silent for 12 s", t, func() {
+		s := newLeavingSimulation()
+		s.run(12 * time.Second)
+		Convey("It serves nearly until its deadline, and few terms are begun", func() {
+			So(s.usable, ShouldBeGreaterThan, leavingBound-time.Second)
+			So(s.state.Term, ShouldBeLessThanOrEqualTo, 3)
+		})
+		Convey("Once a replica answers, it becomes the primary", func() {
+			s.run(3 * time.Second)
+			So(s.state.Phase, ShouldEqual, wire.Phase_OPEN)
+			So(s.state.Primary, ShouldNotEqual, "p")
+		})
+	})
+}
+
+// TestLeavingPrimaryIsNotUsedPastItsDeadline guards against requests at an instance long after its
+// announcement that it leaves.
+func TestLeavingPrimaryIsNotUsedPastItsDeadline(t *testing.T) {
+	Convey("A leaving primary whose replicas are silent is not used after its deadline", t, func() {
+		s := newLeavingSimulation()
+		s.run(12 * time.Second)
+		So(s.lastUsable, ShouldHappenBefore, startTime.Add(leavingBound))
+	})
+}
