agent, sess: Log since when an instance may have been leaving, and the age of the view

The DRAIN incident has three hypotheses that logs could not tell apart: a primary chosen again after its announcement, no successor, and a host or request that is late. Each host now logs an announcement with the highest age that it can have, and each line about a try, a refusal or a served request says how old the view is by which the instance was chosen.

The age is bounded without clocks of other hosts: the grant of a renewal carries all changes that were committed before the renewal was sent, so an announcement that a host did not have then was made later. A host that has just started knows no bound. Nothing decides by it yet.

--- a/internal/control/agent/agent.go
+++ b/internal/control/agent/agent.go
@@ -358,6 +358,7 @@
 	if g.Revision <= a.view.Revision && !(g.Reset_ && a.view.Revision == 0) {
 		return nil
 	}
+	previous := a.view
 	if g.Reset_ {
 		a.view = NewView(g.Revision, g.Changes)
 		a.history = nil
@@ -368,6 +369,7 @@
 		}
 		a.appendChanges(g)
 	}
+	a.trackLeaving(previous, g)
 	if a.OnView != nil {
 		a.OnView(a.view)
 	}
--- a/internal/control/agent/view.go
+++ b/internal/control/agent/view.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/agatespindle/agatespindle/internal/base/wire"
 	"github.com/agatespindle/agatespindle/internal/control/spec"
@@ -16,6 +17,15 @@
 	resources map[state.Key]*wire.Resource
 	byGroup   map[string][]*wire.Resource
 	byKind    map[spec.Kind][]*wire.Resource
+	// leavingSince has a lower bound of the time at which each leaving instance announced that it
+	// leaves; the zero time if none is known.
+	leavingSince map[incarnation]time.Time
+}
+
+// incarnation identifies one start of a backend server.
+type incarnation struct {
+	name string
+	born int64
 }
 
 // NewView returns a view of the resources in list at a revision.
@@ -31,7 +41,7 @@
 // With returns a view at a later revision with changes applied. Resources marked as deleted are
 // removed. v is not modified.
 func (v *View) With(revision uint64, changes []*wire.Resource) *View {
-	next := &View{Revision: revision, resources: v.resources, byGroup: v.byGroup, byKind: v.byKind}
+	next := &View{Revision: revision, resources: v.resources, byGroup: v.byGroup, byKind: v.byKind, leavingSince: v.leavingSince}
 	if len(changes) == 0 {
 		return next
 	}
@@ -64,6 +74,36 @@
 	}
 }
 
+// withLeaving returns the view with a lower bound of the time of each leaving instance's announcement:
+// the one that previous has for the incarnation, or else confirmed, the time up to which previous has
+// all changes. It also returns the instances that previous does not have as leaving.
+func (v *View) withLeaving(previous *View, confirmed time.Time) (*View, []*wire.Resource) {
+	next := *v
+	next.leavingSince = map[incarnation]time.Time{}
+	var added []*wire.Resource
+	for _, r := range v.byKind[spec.Backends] {
+		if r.Backend.GetStanding() != wire.LifecycleState_DRAINING {
+			continue
+		}
+		key := incarnation{r.Name, r.Backend.Born}
+		since, known := previous.leavingSince[key]
+		if !known {
+			since = confirmed
+			added = append(added, r)
+		}
+		next.leavingSince[key] = since
+	}
+	return &next, added
+}
+
+// LeavingSince returns the earliest time at which an instance that started at born (Unix
+// milliseconds) can have announced that it leaves, the zero time if that is not known. It reports
+// false if the instance is not leaving.
+func (v *View) LeavingSince(name string, born int64) (time.Time, bool) {
+	since, ok := v.leavingSince[incarnation{name, born}]
+	return since, ok
+}
+
 // Get returns the resource of a kind and name, or nil.
 func (v *View) Get(k spec.Kind, name string) *wire.Resource {
 	return v.resources[state.Key{Kind: k, Name: name}]
--- a/internal/control/lease/hostlease.go
+++ b/internal/control/lease/hostlease.go
@@ -10,6 +10,8 @@
 	seq    uint64
 	sentAt map[uint64]time.Time
 	end    time.Time
+	// confirmed is when the latest renewal request that was granted was sent.
+	confirmed time.Time
 	// term is the latest term of a control leader that the host has seen.
 	term uint64
 }
@@ -41,6 +43,9 @@
 		return
 	}
 	delete(l.sentAt, seq)
+	if at.After(l.confirmed) {
+		l.confirmed = at
+	}
 	until := at.Add(duration - duration/clockDriftDivisor)
 	if until.After(l.end) {
 		l.end = until
@@ -65,3 +70,8 @@
 
 // End returns when the lease ends, or the zero time if the host never had one.
 func (l *HostLease) End() time.Time { return l.end }
+
+// Confirmed returns a time up to which the host has all committed changes: when it sent the latest
+// renewal request that was granted, or the zero time if there was none. The grant of a request
+// carries all changes that were committed before it.
+func (l *HostLease) Confirmed() time.Time { return l.confirmed }
--- a/internal/tools/story/story.go
+++ b/internal/tools/story/story.go
@@ -111,11 +111,11 @@
 func describe(l logLine) string {
 	switch l.Message {
 	case sess.EventTryFailed:
-		return fmt.Sprintf("try %s at instance %s failed (%s): %s; required position %s, term %s, after %s",
-			l.field("try"), l.field("instance"), l.field("stage"), l.field("cause"), l.field("needed"), l.field("term"), l.field("took"))
+		return fmt.Sprintf("try %s at instance %s failed (%s): %s; required position %s, term %s, after %s; view of the resources %s old",
+			l.field("try"), l.field("instance"), l.field("stage"), l.field("cause"), l.field("needed"), l.field("term"), l.field("took"), l.field("viewage"))
 	case sess.EventRefused:
-		return fmt.Sprintf("request refused with %s after %s tries and %s; term %s of group %s open: %s, primary %s, lease valid: %s, latest known position %s old",
-			l.field("code"), l.field("tries"), l.field("took"), l.field("term"), l.field("group"), l.field("open"), l.field("primary"), l.field("leased"), l.field("positionage"))
+		return fmt.Sprintf("request refused with %s after %s tries and %s; term %s of group %s open: %s, primary %s, lease valid: %s, latest known position %s old, view of the resources %s old",
+			l.field("code"), l.field("tries"), l.field("took"), l.field("term"), l.field("group"), l.field("open"), l.field("primary"), l.field("leased"), l.field("positionage"), l.field("viewage"))
 	case sess.EventTransactionEnded:
 		return fmt.Sprintf("transaction ended with %s at %s on instance %s: %s; had written: %s",
 			l.field("code"), l.field("kind"), l.field("instance"), l.field("cause"), l.field("wrote"))
