group: Begin a hand-over only once a successor has answered

Cause: checkPrimary asked whether another instance is known that is not leaving, not whether one answers. The term was sealed, nobody else answered, the leaving primary was chosen again, and the next round sealed it at once: 17 terms in ten seconds. Class: a transition that is begun without knowing that it can end.

Now the primary serves on while the others are queried; the term is sealed once one of them has answered within 0.5 s and has not just failed to be promoted. After a hand-over that ended with a leaving primary the next one waits, 0.5 s doubling to 4 s. With all answers in, the fallback no longer waits half a second, and of equal instances it takes one that did not just fail. Replicas that were paused for the choice receive again in the meantime.

--- a/internal/control/group/platform_failover.go
+++ b/internal/control/group/platform_failover.go
@@ -153,6 +153,10 @@
 	lastQueried       map[string]time.Time // by instance
 	lastProposed      time.Time
 	promotionFailedAt map[string]time.Time // by instance
+	// failedHandOvers counts the hand-overs in a row after which the term opened with a primary that
+	// leaves, and nextHandOver is the earliest time of the next one.
+	failedHandOvers int
+	nextHandOver    time.Time
 }
 
 // promotionRetryDelay is how long an instance whose promotion failed is not chosen again while
@@ -184,6 +188,9 @@
 	} else if f.term == v.State.GetTerm() && f.phase == v.State.GetPhase() && f.fenceToken == v.State.GetFence() {
 		return
 	}
+	if v.State.GetPhase() == wire.Phase_OPEN {
+		f.recordHandOver(now, v)
+	}
 	f.term, f.phase, f.fenceToken = v.State.GetTerm(), v.State.GetPhase(), v.State.GetFence()
 	f.phaseSince = now
 	f.lastProposed = time.Time{}
@@ -231,26 +238,30 @@
 	return &wire.LogPosition{Term: p.Term, Number: p.Number}
 }
 
-// checkPrimary ends an open term if the primary has failed, is being drained or removed while
-// another instance can replace it, or has been deposed. Early in the term it also lets replicas
-// resume replication.
+// checkPrimary ends an open term if the primary has failed or has been deposed, or if it leaves or has
+// left and another instance can replace it. Early in the term it also lets replicas resume
+// replication.
 func (f *PlatformFailover) checkPrimary(now time.Time, v PlatformView) []Action {
 	primary, known := v.candidate(v.State.Primary)
 	switch {
 	case v.PrimaryFailed:
 		return f.seal(now, v, ReasonPrimaryFailed)
-	case (!known || primary.Draining) && v.hasSuccessor():
+	case !known && v.hasSuccessor():
 		return f.seal(now, v, ReasonPrimaryDraining)
+	case primary.Draining:
+		return f.handOver(now, v)
 	case known && !primary.AnnouncedPrimary:
 		return f.verifyPrimary(now, v)
-	case v.RequiredCopies > 0 && now.Sub(f.phaseSince) < f.Options.PromotionTimeout:
-		return f.resumeReplication(now, v)
 	}
-	return nil
+	return f.resumeReplication(now, v)
 }
 
-// resumeReplication lets replicas receive again that were stopped while the primary was chosen.
+// resumeReplication lets replicas receive again that were stopped while the primary was chosen, for a
+// time after the term has opened.
 func (f *PlatformFailover) resumeReplication(now time.Time, v PlatformView) []Action {
+	if v.RequiredCopies == 0 || now.Sub(f.phaseSince) >= f.Options.PromotionTimeout {
+		return nil
+	}
 	var actions []Action
 	for _, c := range v.Candidates {
 		if c.Name != v.State.Primary && now.Sub(f.lastQueried[c.Name]) >= f.Options.ProposalInterval {
@@ -378,11 +389,12 @@
 // former primary (CatchUpTimeout). If writes require copies and no instance catches up in time,
 // it returns the former primary again.
 func (f *PlatformFailover) pickPrimary(now time.Time, v PlatformView) (string, bool) {
-	best, found, missing := "", false, false
+	best, found, missing, allAnswered := "", false, false, true
 	var formerEnd LogPosition
 	for _, c := range v.Candidates {
 		status, ok := v.Statuses[c.Name]
 		if !ok || status.QueriedAt.Before(f.sealInForceAt) {
+			allAnswered = false
 			missing = missing || c.Name != v.State.Primary || v.State.Reason == ReasonPrimaryDraining
 			continue
 		}
@@ -403,10 +415,8 @@
 	switch {
 	case missing && waited < f.Options.AnswerTimeout:
 		return "", false
-	case !found && waited < 2*f.Options.AnswerTimeout:
-		return "", false
 	case !found:
-		return f.fallbackPrimary(v)
+		return f.pickFallback(now, v, allAnswered || waited >= 2*f.Options.AnswerTimeout)
 	case (v.State.Reason == ReasonPrimaryDraining || v.RequiredCopies > 0) && v.Statuses[best].Received.Before(formerEnd) && waited < f.Options.CatchUpTimeout:
 		return "", false
 	}
@@ -416,27 +426,37 @@
 // deprioritized reports whether an instance is chosen only if there is no other: it is draining,
 // is the former primary, or could not be promoted recently.
 func (f *PlatformFailover) deprioritized(now time.Time, v PlatformView, c Candidate) bool {
-	if c.Draining || c.Name == v.State.Primary {
-		return true
-	}
+	return c.Draining || c.Name == v.State.Primary || f.failedRecently(now, c)
+}
+
+// failedRecently reports whether an instance could not be promoted recently.
+func (f *PlatformFailover) failedRecently(now time.Time, c Candidate) bool {
 	at, failed := f.promotionFailedAt[c.Name]
 	return failed && now.Sub(at) < promotionRetryDelay
 }
 
-// fallbackPrimary returns the instance with the highest received position among all that have
-// answered, including the former primary and other deprioritized instances.
-func (f *PlatformFailover) fallbackPrimary(v PlatformView) (string, bool) {
-	best, found := "", false
+// pickFallback returns the instance with the highest received position among all that have answered,
+// including the former primary and other deprioritized instances. Of equal ones it returns one that
+// did not fail to be promoted recently. It reports false while others may still answer, or while
+// another promotion of the same instance would follow too soon.
+func (f *PlatformFailover) pickFallback(now time.Time, v PlatformView, complete bool) (string, bool) {
+	var best Candidate
+	found := false
 	for _, c := range v.Candidates {
 		status, ok := v.Statuses[c.Name]
 		if !ok || status.QueriedAt.Before(f.sealInForceAt) {
 			continue
 		}
-		if !found || v.Statuses[best].Received.Before(status.Received) {
-			best, found = c.Name, true
+		highest := v.Statuses[best.Name].Received
+		if !found || highest.Before(status.Received) || highest == status.Received && f.failedRecently(now, best) && !f.failedRecently(now, c) {
+			best, found = c, true
 		}
 	}
-	return best, found
+	waited := now.Sub(f.sealInForceAt)
+	if !complete || f.failedRecently(now, best) && waited < 2*f.Options.AnswerTimeout {
+		return "", false
+	}
+	return best.Name, found
 }
 
 // promote requests the promotion of the chosen instance and opens the term once the instance is
