topo, pool, group: Give a leaving instance a deadline, checked when a request is sent

Cause: the announcement was kept as a state without a time. Nothing knew until when a leaving primary may be used: routing ignored the state for a primary, the choice of a primary could fall back to it at any time, an open term without any successor never ended, and the platform's bound was not among the settings read. Class: a state without a time.

Now each host has a deadline for each leaving incarnation: the bound (bounds.drain_ms) counted from the earliest time at which the announcement can have been made, less half a second for what is on its way. It is checked in one place, where a connection sends to the instance, at the host or at the lender: a request that waited for a slot, a connection or a try is withheld too. Statements of open transactions may end. A host that cannot tell the time treats the deadline as passed. The leader ends the term at the deadline, and when the primary is gone, whether or not a successor is known, and chooses no instance that leaves within a second; with required copies it then chooses a replica only if that has the whole log or enough replicas answered. Requests that nobody can serve are refused at once as not run, with a reason and counters of their own (refused.leaving, tries.withheld.leaving). Hosts of an earlier build get a code that they know from a lender.

TestPlatformFailoverChecksPrimary gives its leaving primary a deadline and now also expects the seal when it has passed.

--- a/internal/backend/mimic/cloud.go
+++ b/internal/backend/mimic/cloud.go
@@ -49,8 +49,15 @@
 	if in.HeartbeatAddr != "" {
 		addr = in.HeartbeatAddr
 	}
+	state := "ready"
+	in.group.mu.Lock()
+	leaving := in.leaving
+	in.group.mu.Unlock()
+	if leaving {
+		state = "draining"
+	}
 	b, err := json.Marshal(map[string]any{
-		"service": in.group.Name, "addr": addr, "zone": in.Zone, "version": "v1", "slots": 2, "state": "ready",
+		"service": in.group.Name, "addr": addr, "zone": in.Zone, "version": "v1", "slots": 2, "state": state,
 		"cold_left_ms": 0, "db_role": role, "seq": seq, "born": in.startedAtMs,
 	})
 	if err != nil {
@@ -58,6 +65,7 @@
 	}
 	for _, addr := range control {
 		if Post(ctx, "http://"+addr+"/instances/"+in.Name+"/heartbeat", b) == nil {
+			in.acknowledged(leaving)
 			return
 		}
 	}
--- a/internal/backend/mimic/group.go
+++ b/internal/backend/mimic/group.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -50,6 +51,9 @@
 	QueueLimit int
 	// StatementTime is how long a statement occupies its slot.
 	StatementTime time.Duration
+	// LeaveBound is how long after the acknowledgment of its announcement an instance that leaves may
+	// get new requests; 0 is unlimited.
+	LeaveBound time.Duration
 
 	// mu also guards the term, log, fault flags and connections of the instances.
 	mu           sync.Mutex
@@ -59,6 +63,17 @@
 	fencingToken uint64 // highest token that was accepted
 	// peakConns is the highest number of open connections that any instance has had.
 	peakConns int
+	// lateRequests describes the requests that reached a leaving instance after LeaveBound.
+	lateRequests []string
+}
+
+// LateRequests returns a description of each request that reached an instance later than LeaveBound
+// after the acknowledgment of its announcement that it leaves. Status queries and statements of
+// transactions that were open do not count.
+func (g *Group) LateRequests() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.lateRequests)
 }
 
 // WriteCount returns how often the write with the id occurs in the current primary's log.
--- a/internal/backend/mimic/instance.go
+++ b/internal/backend/mimic/instance.go
@@ -30,7 +30,11 @@
 	crashed            bool
 	replicationStopped bool
 	responsesToDrop    int
-	conns              map[net.Conn]bool
+	// leaving is set once the instance announces that it leaves, and leavingAckedAt when the
+	// announcement was acknowledged.
+	leaving        bool
+	leavingAckedAt time.Time
+	conns          map[net.Conn]bool
 	// overloaded is an injected fault: every statement that needs a slot is refused.
 	overloaded atomic.Bool
 	wg         sync.WaitGroup
@@ -125,6 +129,44 @@
 	in.responsesToDrop = n
 }
 
+// Leave makes the instance announce that it leaves. It serves on until it crashes.
+func (in *Instance) Leave() {
+	in.group.mu.Lock()
+	defer in.group.mu.Unlock()
+	in.leaving = true
+}
+
+// LeavingAcked returns when a control host acknowledged that the instance leaves, the zero time if none
+// has.
+func (in *Instance) LeavingAcked() time.Time {
+	in.group.mu.Lock()
+	defer in.group.mu.Unlock()
+	return in.leavingAckedAt
+}
+
+// acknowledged records the acknowledgment of a heartbeat.
+func (in *Instance) acknowledged(leaving bool) {
+	in.group.mu.Lock()
+	defer in.group.mu.Unlock()
+	if leaving && in.leavingAckedAt.IsZero() {
+		in.leavingAckedAt = time.Now()
+	}
+}
+
+// recordArrival records a query that reaches the instance too long after it announced that it leaves.
+func (s *session) recordArrival(id, text string) {
+	g := s.in.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	verb, _, _ := strings.Cut(text, " ")
+	if s.inTx || verb == "STAT" || verb == "PAUSE" || verb == "RESUME" || g.LeaveBound == 0 || s.in.leavingAckedAt.IsZero() {
+		return
+	}
+	if late := time.Since(s.in.leavingAckedAt); late > g.LeaveBound {
+		g.lateRequests = append(g.lateRequests, fmt.Sprintf("%s at %s, %s after it announced that it leaves: %s", id, s.in.Name, late, text))
+	}
+}
+
 // session is the protocol state of one client connection.
 type session struct {
 	in       *Instance
@@ -167,6 +209,7 @@
 		if len(fields) < 3 || fields[0] != "QUERY" {
 			return
 		}
+		s.recordArrival(fields[1], fields[2])
 		if !s.admitQuery(fields[1], fields[2]) {
 			return
 		}
--- a/internal/control/group/leaving_test.go
+++ b/internal/control/group/leaving_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/agatespindle/agatespindle/internal/base/wire"
 	"github.com/agatespindle/agatespindle/internal/control/group"
+	"github.com/agatespindle/agatespindle/internal/control/spec"
 )
 
 const (
@@ -38,7 +39,9 @@
 	v := s.platformSimulation.view("x", false)
 	v.RequiredCopies = s.copies
 	for i := range v.Candidates {
-		v.Candidates[i].Draining = v.Candidates[i].Name == "p"
+		if v.Candidates[i].Name == "p" {
+			v.Candidates[i].Draining, v.Candidates[i].LeaveDeadline = true, spec.LeaveBound(leavingBound).Deadline(startTime)
+		}
 	}
 	return v
 }
@@ -138,3 +141,47 @@
 		So(s.lastUsable, ShouldHappenBefore, startTime.Add(leavingBound))
 	})
 }
+
+// TestLeftPrimaryIsNotChosenAgain guards against a choice, or a group that stays closed, because the only
+// instance with the whole log has left.
+func TestLeftPrimaryIsNotChosenAgain(t *testing.T) {
+	past := startTime.Add(-time.Second)
+	sealed := func(copies int) (*group.PlatformFailover, group.PlatformView) {
+		v := sealedView(group.ReasonPrimaryDraining)
+		v.RequiredCopies = copies
+		v.Candidates[2].Draining, v.Candidates[2].LeaveDeadline = true, past
+		f := newPlatformFailover()
+		f.Step(startTime, v)
+		v.Statuses["p"] = statusAt(startTime.Add(1), 1, 9)
+		return f, v
+	}
+	Convey("If it alone answers, nobody is chosen until another instance does", t, func() {
+		f, v := sealed(0)
+		So(proposedPrimary(f.Step(startTime.Add(time.Minute), v)), ShouldBeEmpty)
+		v.Statuses["a"] = statusAt(startTime.Add(time.Minute), 1, 3)
+		So(proposedPrimary(f.Step(startTime.Add(time.Minute+time.Second), v)), ShouldEqual, "a")
+	})
+	Convey("If writes require a copy and one replica lacks the end of its log, the choice waits for the other replica", t, func() {
+		f, v := sealed(1)
+		v.Statuses["a"] = statusAt(startTime.Add(1), 1, 8)
+		So(proposedPrimary(f.Step(startTime.Add(time.Minute), v)), ShouldBeEmpty)
+		v.Statuses["b"] = statusAt(startTime.Add(time.Minute), 1, 7)
+		So(proposedPrimary(f.Step(startTime.Add(time.Minute+time.Second), v)), ShouldEqual, "a")
+	})
+	Convey("If writes require a copy and one replica has its whole log, that one is chosen", t, func() {
+		f, v := sealed(1)
+		v.Statuses["a"] = statusAt(startTime.Add(1), 1, 9)
+		So(proposedPrimary(f.Step(startTime.Add(time.Second), v)), ShouldEqual, "a")
+	})
+	Convey("A term whose primary is gone ends even if no successor is known", t, func() {
+		v := openView()
+		v.Candidates = nil
+		So(sealReason(newPlatformFailover().Step(startTime, v)), ShouldEqual, group.ReasonPrimaryDraining)
+	})
+	Convey("A new incarnation of it can be chosen", t, func() {
+		f, v := sealed(0)
+		v.Candidates[2].Draining = false
+		v.Statuses = map[string]group.InstanceStatus{"p": statusAt(startTime.Add(time.Second), 1, 0)}
+		So(proposedPrimary(f.Step(startTime.Add(2*time.Second), v)), ShouldEqual, "p")
+	})
+}
--- a/internal/control/group/platform_failover.go
+++ b/internal/control/group/platform_failover.go
@@ -50,6 +50,8 @@
 	Name string
 	// Draining is set when the instance is draining.
 	Draining bool
+	// LeaveDeadline is the time from which a draining instance gets no new requests.
+	LeaveDeadline time.Time
 	// AnnouncedPrimary is set while the instance announces itself as the primary.
 	AnnouncedPrimary bool
 }
@@ -246,7 +248,7 @@
 	switch {
 	case v.PrimaryFailed:
 		return f.seal(now, v, ReasonPrimaryFailed)
-	case !known && v.hasSuccessor():
+	case !known || primary.leavesBefore(now):
 		return f.seal(now, v, ReasonPrimaryDraining)
 	case primary.Draining:
 		return f.handOver(now, v)
@@ -294,16 +296,6 @@
 	return Candidate{}, false
 }
 
-// hasSuccessor reports whether there is an instance other than the primary that is not draining.
-func (v PlatformView) hasSuccessor() bool {
-	for _, c := range v.Candidates {
-		if c.Name != v.State.Primary && !c.Draining {
-			return true
-		}
-	}
-	return false
-}
-
 // seal proposes to end the term for the given reason.
 func (f *PlatformFailover) seal(now time.Time, v PlatformView, reason string) []Action {
 	return f.propose(now, &wire.Command{Body: &wire.Command_Seal{Seal: &wire.SealTerm{
@@ -327,7 +319,7 @@
 		actions = pauseReplication(actions, v)
 	}
 	name, ok := f.pickPrimary(now, v)
-	if !ok || !f.coversAcknowledgedWrites(v) {
+	if !ok || !f.coversAcknowledgedWrites(now, v, name) {
 		return actions
 	}
 	return append(actions, f.proposeChoice(now, v, name)...)
@@ -350,10 +342,10 @@
 	return actions
 }
 
-// coversAcknowledgedWrites reports whether the instances that have answered hold every
-// acknowledged write. That is so if the former primary has answered, or if fewer than
-// RequiredCopies replicas have not.
-func (f *PlatformFailover) coversAcknowledgedWrites(v PlatformView) bool {
+// coversAcknowledgedWrites reports whether the chosen instance is known to hold every acknowledged
+// write. That is so if the former primary has answered and could have been chosen or has no more, or
+// if fewer than RequiredCopies replicas have not answered.
+func (f *PlatformFailover) coversAcknowledgedWrites(now time.Time, v PlatformView, chosen string) bool {
 	if v.RequiredCopies == 0 {
 		return true
 	}
@@ -362,7 +354,7 @@
 		status, ok := v.Statuses[c.Name]
 		ok = ok && !status.QueriedAt.Before(f.sealInForceAt)
 		if c.Name == v.State.Primary {
-			if ok {
+			if ok && (!v.formerLeaves(now) || !v.Statuses[chosen].Received.Before(status.Received)) {
 				return true
 			}
 			continue
@@ -387,7 +379,7 @@
 // not deprioritized. It reports false while it waits for more answers (AnswerTimeout) or, in a
 // planned failover or if writes require copies, for the instance to receive the whole log of the
 // former primary (CatchUpTimeout). If writes require copies and no instance catches up in time,
-// it returns the former primary again.
+// it returns the former primary again, unless that one leaves.
 func (f *PlatformFailover) pickPrimary(now time.Time, v PlatformView) (string, bool) {
 	best, found, missing, allAnswered := "", false, false, true
 	var formerEnd LogPosition
@@ -409,7 +401,7 @@
 		}
 	}
 	waited := now.Sub(f.sealInForceAt)
-	if found && v.RequiredCopies > 0 && v.Statuses[best].Received.Before(formerEnd) && waited >= f.Options.CatchUpTimeout {
+	if found && v.RequiredCopies > 0 && v.Statuses[best].Received.Before(formerEnd) && waited >= f.Options.CatchUpTimeout && !v.formerLeaves(now) {
 		return v.State.Primary, true
 	}
 	switch {
@@ -444,7 +436,7 @@
 	found := false
 	for _, c := range v.Candidates {
 		status, ok := v.Statuses[c.Name]
-		if !ok || status.QueriedAt.Before(f.sealInForceAt) {
+		if !ok || status.QueriedAt.Before(f.sealInForceAt) || c.leavesBefore(now.Add(minLeavingTerm)) {
 			continue
 		}
 		highest := v.Statuses[best.Name].Received
--- a/internal/control/group/platform_failover__leaving.go
+++ b/internal/control/group/platform_failover__leaving.go
@@ -14,8 +14,21 @@
 	// one, up to maxHandOverPause.
 	minHandOverPause = 500 * time.Millisecond
 	maxHandOverPause = 4 * time.Second
+	// minLeavingTerm is the least time that an instance must still be usable for to be chosen as the
+	// primary. A promotion takes most of it.
+	minLeavingTerm = time.Second
 )
 
+// leavesBefore reports whether the instance is draining and gets no new requests at a time.
+func (c Candidate) leavesBefore(at time.Time) bool { return c.Draining && !at.Before(c.LeaveDeadline) }
+
+// formerLeaves reports whether the former primary of a sealed term is gone, or leaves too soon to be
+// chosen again.
+func (v PlatformView) formerLeaves(now time.Time) bool {
+	former, known := v.candidate(v.State.Primary)
+	return !known || former.leavesBefore(now.Add(minLeavingTerm))
+}
+
 // handOver ends the term of a primary that leaves once another instance has answered and can take
 // over. Until then the primary serves on, and the others are queried.
 func (f *PlatformFailover) handOver(now time.Time, v PlatformView) []Action {
--- a/internal/control/group/platform_failover_test.go
+++ b/internal/control/group/platform_failover_test.go
@@ -68,13 +68,14 @@
 		v.PrimaryFailed = true
 		So(sealReason(newPlatformFailover().Step(startTime, v)), ShouldEqual, group.ReasonPrimaryFailed)
 		v = openView()
-		v.Candidates[2].Draining = true
+		v.Candidates[2].Draining, v.Candidates[2].LeaveDeadline = true, startTime.Add(time.Second)
 		draining := newPlatformFailover()
 		So(draining.Step(startTime, v), ShouldResemble, []group.Action{group.QueryStatus{Instance: "a"}, group.QueryStatus{Instance: "b"}})
 		v.Statuses["b"] = statusAt(startTime, 1, 5)
 		So(sealReason(draining.Step(startTime.Add(time.Millisecond), v)), ShouldEqual, group.ReasonPrimaryDraining)
 		v.Candidates[0].Draining, v.Candidates[1].Draining = true, true
 		So(newPlatformFailover().Step(startTime, v), ShouldBeEmpty)
+		So(sealReason(newPlatformFailover().Step(startTime.Add(time.Second), v)), ShouldEqual, group.ReasonPrimaryDraining)
 		v = openView()
 		v.Candidates[2].AnnouncedPrimary = false
 		f := newPlatformFailover()
--- a/internal/control/leader/leader__platform.go
+++ b/internal/control/leader/leader__platform.go
@@ -53,6 +53,9 @@
 	// ErrPromotionRefused if the platform refuses; after other errors the promotion may still
 	// happen.
 	Promote func(ctx context.Context, in Instance, fence uint64) error
+	// LeaveDeadline returns the time from which a leaving instance that started at born (Unix
+	// milliseconds) gets no new requests.
+	LeaveDeadline func(name string, born int64) time.Time
 }
 
 // promotionRequest is the fencing token and state of a group's promotion request.
@@ -91,9 +94,11 @@
 func (l *Leader) platformView(ctx context.Context, now time.Time, s *state.State, r *wire.Resource, instances []*wire.Resource) group.PlatformView {
 	v := group.PlatformView{Name: r.Name, State: r.Group, ControlHost: l.Host, RequiredCopies: l.declaredCopies(s)[r.Name], Statuses: l.statuses[r.Name]}
 	for _, in := range instances {
-		v.Candidates = append(v.Candidates, group.Candidate{
-			Name: in.Name, Draining: in.Backend.Standing == wire.LifecycleState_DRAINING, AnnouncedPrimary: in.Backend.Primary,
-		})
+		c := group.Candidate{Name: in.Name, AnnouncedPrimary: in.Backend.Primary}
+		if in.Backend.Standing == wire.LifecycleState_DRAINING {
+			c.Draining, c.LeaveDeadline = true, l.Platform.LeaveDeadline(in.Name, in.Backend.Born)
+		}
+		v.Candidates = append(v.Candidates, c)
 	}
 	if promotion := l.promotions[r.Name]; promotion.fence == r.Group.Fence && promotion.fence != 0 {
 		v.Promotion = promotion.state
--- a/internal/tools/node/cluster_integration_test.go
+++ b/internal/tools/node/cluster_integration_test.go
@@ -155,6 +155,10 @@
 	var s platform.Settings
 	s.Host, s.IP, s.Center, s.InternalPorts, s.Seeds, s.Bootstrap = name, ip, "a", []int{7440, 7455}, c.seeds, firstStart
 	s.Bounds.GraceSeconds = 6
+	if c.group.LeaveBound > 0 {
+		ms := float64(c.group.LeaveBound.Milliseconds())
+		s.Bounds.DrainMillis = &ms
+	}
 	if isControl {
 		s.Serves, s.Listen.Control, s.DataDir, s.Cloud.Addr = []string{"control"}, ip+":8782", filepath.Join(c.dir, name), c.cloud.Addr
 	} else {
--- a/internal/tools/node/control.go
+++ b/internal/tools/node/control.go
@@ -72,7 +72,7 @@
 	cloud := &platform.Client{Addr: n.cfg.Cloud.Addr, Host: n.cfg.Host}
 	c.leader = &leader.Leader{
 		Driver: c.driver, Log: n.Log, Meter: n.Meter, LeaseDuration: leaseDuration, Now: clock.Monotonic, FailoverOptions: group.DefaultOptions(),
-		Host: n.cfg.Host, Platform: &leader.Platform{QueryStatus: platform.QueryInstanceStatus, Promote: cloud.Promote},
+		Host: n.cfg.Host, Platform: &leader.Platform{QueryStatus: platform.QueryInstanceStatus, Promote: cloud.Promote, LeaveDeadline: n.leaveDeadline},
 	}
 	c.leader.Prepare()
 	c.api = &platform.ControlAPI{Intake: &intake.Forwarder{Agent: n.Agent, Log: n.Log, Meter: n.Meter}, Log: n.Log, Meter: n.Meter}
@@ -88,6 +88,12 @@
 	return nil
 }
 
+// leaveDeadline returns the time from which an instance that leaves gets no new requests, as far as this
+// host can tell.
+func (n *Node) leaveDeadline(name string, born int64) time.Time {
+	return n.cfg.LeaveBound().Deadline(n.Agent.LeavingSince(name, born))
+}
+
 // services returns the services that start after the agent, in start order.
 func (c *control) services() []kernel.Service {
 	return []kernel.Service{
--- a/internal/tools/node/traffic.go
+++ b/internal/tools/node/traffic.go
@@ -45,7 +45,7 @@
 	borrower := &lend.Borrower{Dialer: n.dialer, Now: clock.Monotonic}
 	t.topology = &topo.Topology{
 		Host: n.cfg.Host, Center: n.cfg.Center, LendOnly: !n.cfg.ServesCallers(), Agent: n.Agent, NewPool: t.newPool, Borrow: borrower.Open,
-		Log: n.Log, Meter: n.Meter, Now: clock.Monotonic,
+		LeaveBound: n.cfg.LeaveBound(), Log: n.Log, Meter: n.Meter, Now: clock.Monotonic,
 	}
 	t.topology.Prepare()
 	t.lender = &lend.Lender{Topology: t.topology, Meter: n.Meter}
--- a/internal/traffic/flow/flow.go
+++ b/internal/traffic/flow/flow.go
@@ -106,11 +106,14 @@
 	Overloaded
 	// Unknown stands for a code that the codec does not recognize.
 	Unknown
+	// Leaving means that the proxy withheld the statement: the instance has announced that it leaves,
+	// and its deadline for new requests has passed.
+	Leaving
 )
 
 var codeNames = [...]string{
 	"ok", "busy", "aborted", "behind", "readonly", "misdirected", "toomany", "failed", "nostatement",
-	"timeout", "denied", "nodatabase", "toolarge", "invalid", "indoubt", "crowded", "unknown",
+	"timeout", "denied", "nodatabase", "toolarge", "invalid", "indoubt", "crowded", "unknown", "leaving",
 }
 
 // String returns the name of the code used in metrics and log lines.
@@ -120,7 +123,7 @@
 // transaction, left no effect.
 func (c Code) GuaranteesNoEffect() bool {
 	switch c {
-	case Busy, Aborted, Behind, ReadOnly, Misdirected, TooMany, Overloaded:
+	case Busy, Aborted, Behind, ReadOnly, Misdirected, TooMany, Overloaded, Leaving:
 		return true
 	}
 	return false
@@ -130,7 +133,7 @@
 // run the statement.
 func (c Code) NotRun() bool {
 	switch c {
-	case Busy, NoStatement, Behind, ReadOnly, Misdirected, TooMany, Overloaded:
+	case Busy, NoStatement, Behind, ReadOnly, Misdirected, TooMany, Overloaded, Leaving:
 		return true
 	}
 	return false
--- a/internal/traffic/flow/flow_test.go
+++ b/internal/traffic/flow/flow_test.go
@@ -10,7 +10,7 @@
 
 var allCodes = []flow.Code{
 	flow.OK, flow.Busy, flow.Aborted, flow.Behind, flow.ReadOnly, flow.Misdirected, flow.TooMany, flow.Failed, flow.NoStatement,
-	flow.Timeout, flow.Denied, flow.NoDatabase, flow.TooLarge, flow.Invalid, flow.InDoubt, flow.Overloaded, flow.Unknown,
+	flow.Timeout, flow.Denied, flow.NoDatabase, flow.TooLarge, flow.Invalid, flow.InDoubt, flow.Overloaded, flow.Unknown, flow.Leaving,
 }
 
 // TestNoEffectGuaranteesHold checks every combination of stage, effect and code: a no-effect
--- a/internal/traffic/lend/lend.go
+++ b/internal/traffic/lend/lend.go
@@ -127,6 +127,9 @@
 		reply.Error = err.Error()
 		return true
 	}
+	if a.Code == flow.Leaving {
+		reply.Leaving, a.Code = true, flow.Overloaded
+	}
 	reply.Rows, reply.Proof, reply.Code, reply.Text, reply.State = a.Rows, a.Proof, uint32(a.Code), a.Text, uint32(a.State)
 	reply.Mark = &wire.LogPosition{Term: a.Position.Term, Number: a.Position.Position}
 	if !returnsConnection(req.Last, a) {
@@ -367,6 +370,9 @@
 		Rows: reply.Rows, Proof: reply.Proof, Code: flow.Code(reply.Code), Text: reply.Text, State: flow.State(reply.State),
 		Position: token.Position{Term: reply.Mark.GetTerm(), Position: reply.Mark.GetNumber()},
 	}
+	if reply.Leaving {
+		a.Code = flow.Leaving
+	}
 	b.returned = returnsConnection(last, a)
 	return a, flow.Answered, nil
 }
--- a/internal/traffic/pool/conn.go
+++ b/internal/traffic/pool/conn.go
@@ -30,7 +30,7 @@
 	// the request, all within timeout. If last is set, the connection isn't needed after the
 	// answer unless a transaction is open then. The stage tells how far the request got. A
 	// request that gets no admission slot in time has an answer with code flow.Overloaded and
-	// no error. After an error the handle must be closed.
+	// no error, and one to an instance that has left has code flow.Leaving. After an error the handle must be closed.
 	Run(timeout time.Duration, values flow.Values, req flow.Request, last bool) (flow.Answer, flow.Stage, error)
 	// Release returns the connection to its pool.
 	Release()
@@ -179,6 +179,11 @@
 // runAdmitted runs a request that has been admitted. A position query runs as an empty transaction
 // that may write, which only the primary opens.
 func (c *Conn) runAdmitted(timeout time.Duration, values flow.Values, req flow.Request) (flow.Answer, flow.Stage, error) {
+	if !c.inTransaction {
+		if a, withheld := c.pool.withhold(); withheld {
+			return a, flow.Answered, nil
+		}
+	}
 	if req.Op == flow.QueryPosition {
 		return c.roundTrip(timeout, flow.Request{Op: flow.BeginReadWriteTx}, flow.Request{Op: flow.RollbackTx})
 	}
--- a/internal/traffic/pool/pool.go
+++ b/internal/traffic/pool/pool.go
@@ -84,6 +84,8 @@
 	latency atomic.Int64
 	// admission is nil if admission control is off.
 	admission atomic.Pointer[admission]
+	// leaveDeadline is nil unless the instance is leaving.
+	leaveDeadline atomic.Pointer[time.Time]
 
 	mu sync.Mutex
 	// idle are the idle connections, the longest idle one first.
--- a/internal/traffic/pool/queued_handle.go
+++ b/internal/traffic/pool/queued_handle.go
@@ -58,6 +58,9 @@
 	if h.conn != nil {
 		return h.conn.Run(timeout, values, req, last)
 	}
+	if a, withheld := h.pool.withhold(); withheld {
+		return a, flow.Answered, nil
+	}
 	start := h.pool.Now()
 	release, ok := h.pool.admit(h.firstTicket(req.Op), req.Op)
 	if !ok {
--- a/internal/traffic/route/cost.go
+++ b/internal/traffic/route/cost.go
@@ -13,6 +13,8 @@
 	Primary bool
 	// Draining is set for an instance that gets no new requests unless it is the primary.
 	Draining bool
+	// Left is set for a draining instance that gets no new requests any more, even if it is the primary.
+	Left bool
 	// Down is set while the host cannot reach the instance.
 	Down bool
 	// Local is set for an instance in the host's data centre.
@@ -56,12 +58,12 @@
 }
 
 // Pick returns the name of the instance with the lowest cost that satisfies the requirement. It
-// returns false if none does. Only the primary may be draining or in backoff.
+// returns false if none does. Only the primary may be draining, until its deadline, or in backoff.
 func (c Costs) Pick(r Requirement, candidates []Candidate) (string, bool) {
 	best, found := "", false
 	var lowest time.Duration
 	for _, candidate := range candidates {
-		if candidate.Down || candidate.Tried || (candidate.Draining && !candidate.Primary) || (r.Primary && !candidate.Primary) {
+		if candidate.Down || candidate.Left || candidate.Tried || (candidate.Draining && !candidate.Primary) || (r.Primary && !candidate.Primary) {
 			continue
 		}
 		if candidate.InBackoff && !candidate.Primary {
--- a/internal/traffic/sess/execution.go
+++ b/internal/traffic/sess/execution.go
@@ -105,6 +105,9 @@
 	}
 	name, ok := e.session.mgr.Costs.Pick(route.Requirement{Primary: e.needsPrimary}, e.group.Candidates(now, e.excluded))
 	if !ok {
+		if primary := e.group.Member(e.group.Primary); primary != nil && primary.HasLeft(now) {
+			e.lastVerdict.Code = flow.Leaving
+		}
 		return nil, false
 	}
 	m := e.group.Member(name)
--- a/internal/traffic/sess/lease_test.go
+++ b/internal/traffic/sess/lease_test.go
@@ -27,6 +27,8 @@
 type unleasedHost struct {
 	*sess.Manager
 	group *mimic.Group
+	// resources are those of the host's view.
+	resources []*wire.Resource
 }
 
 // newUnleasedHost starts two instances and returns a host without a lease.
@@ -61,7 +63,7 @@
 		&wire.Resource{Kind: string(spec.Manifests), Name: spec.CurrentManifest, Version: 2, Revision: 2, Spec: m.Encode()},
 		&wire.Resource{Kind: string(spec.Groups), Name: "g", Revision: 2, Group: &wire.GroupState{Term: 1, Phase: wire.Phase_OPEN, Primary: "i-1", Reign: 1}})
 	mgr.Topology.Agent.OnView(agent.NewView(2, resources))
-	return unleasedHost{mgr, g}
+	return unleasedHost{mgr, g, resources}
 }
 
 // open opens a session on a database.
@@ -124,3 +126,22 @@
 		})
 	})
 }
+
+// TestRequestsForLeftPrimaryAreRefusedAtOnce guards against requests that wait, or are sent, although the
+// only instance that could run them gets none any more.
+func TestRequestsForLeftPrimaryAreRefusedAtOnce(t *testing.T) {
+	Convey("Given a primary that leaves and whose deadline has passed", t, func() {
+		h := newUnleasedHost(t)
+		h.resources[0].Backend.Standing = wire.LifecycleState_DRAINING
+		h.Topology.Agent.OnView(agent.NewView(3, h.resources))
+		for _, statement := range []flow.Kind{flow.Write, flow.Read} {
+			started := time.Now()
+			a := run(h.open("strong"), statement, "WRITE x 1")
+			So(a.Code, ShouldEqual, flow.Leaving)
+			So(a.Code.GuaranteesNoEffect(), ShouldBeTrue)
+			So(time.Since(started), ShouldBeLessThan, 500*time.Millisecond)
+		}
+		So(h.group.WriteCount("1"), ShouldEqual, 0)
+		So(h.Meter.CounterValue("refused.leaving"), ShouldEqual, 2)
+	})
+}
--- a/internal/traffic/topo/topology.go
+++ b/internal/traffic/topo/topology.go
@@ -65,6 +65,8 @@
 	// Borrow, if set, borrows a connection to an instance from the host at addr, waiting at most
 	// waitLimit for a free one; a lower rank is served first.
 	Borrow func(addr, group, instance string, prio pool.Priority, waitLimit time.Duration) (pool.Handle, error)
+	// LeaveBound is how long after its announcement a leaving instance may get new requests.
+	LeaveBound spec.LeaveBound
 	// Now returns the current time; tests replace it.
 	Now func() time.Time
 
@@ -118,7 +120,8 @@
 // Member is an instance of a group, with this host's connection pool for it.
 type Member struct {
 	*pool.Pool
-	// Draining is set for an instance that gets no new requests unless it is the primary.
+	// Draining is set for an instance that gets no new requests unless it is the primary, and none at
+	// all once its pool HasLeft.
 	Draining bool
 	// lenders are the addresses of the hosts that this host borrows connections from, if it holds
 	// none of its own.
@@ -304,6 +307,10 @@
 			continue
 		}
 		m := t.ensureMember(r)
+		if m.Draining {
+			since, _ := v.LeavingSince(r.Name, r.Backend.Born)
+			m.SetLeaveDeadline(t.LeaveBound.Deadline(since))
+		}
 		m.SetConnLimits(declared.MaxConnections, t.directShare(declared.MaxConnections, hosts))
 		m.center, m.connectionLimit = r.Backend.Center, declared.MaxConnections
 		seen[r.Name] = true
@@ -363,7 +370,7 @@
 	list := make([]route.Candidate, 0, len(g.Members))
 	for _, m := range g.Members {
 		list = append(list, route.Candidate{
-			Name: m.Instance, Primary: g.Open && m.Instance == g.Primary, Draining: m.Draining, Down: m.unreachable(now),
+			Name: m.Instance, Primary: g.Open && m.Instance == g.Primary, Draining: m.Draining, Left: m.HasLeft(now), Down: m.unreachable(now),
 			Local: m.Local, Load: m.Load(), Slots: m.Slots, Latency: m.Latency(),
 			InBackoff: now.UnixNano() < m.state.backoffUntil.Load(), Tried: tried[m.Instance],
 		})
@@ -385,7 +392,7 @@
 // has been failing or lagging for less than catchUpLimit.
 func (g *Group) CatchingUp(now time.Time, tried map[string]bool) bool {
 	return slices.ContainsFunc(g.Candidates(now, tried), func(c route.Candidate) bool {
-		return c.InBackoff && !c.Down && !c.Tried && !c.Draining && now.Sub(g.Member(c.Name).failingSince()) < catchUpLimit
+		return c.InBackoff && !c.Down && !c.Left && !c.Tried && !c.Draining && now.Sub(g.Member(c.Name).failingSince()) < catchUpLimit
 	})
 }
 
