state: Keep an incarnation leaving once it has announced so

Callers could have seen requests at an instance past its deadline, or an instance in use that others still avoid: a later heartbeat of the same incarnation with the state ready took its announcement back, and each host then forgot the deadline.

Cause: an announcement replaced the recorded one as a whole. The acknowledgment of an announcement starts a bound that cannot be stopped, so a state that ends only with the incarnation is right. Role and sequence number are still recorded; an instance that starts again under its name is ready as before.

The case in TestAnnouncementsAreOrdered failed before (standing READY).

--- a/internal/control/intake/intake.go
+++ b/internal/control/intake/intake.go
@@ -15,6 +15,7 @@
 	"github.com/agatespindle/agatespindle/internal/control/agent"
 	"github.com/agatespindle/agatespindle/internal/control/leader"
 	"github.com/agatespindle/agatespindle/internal/control/spec"
+	"github.com/agatespindle/agatespindle/internal/control/state"
 )
 
 // callTimeout limits a call to the leader. Clients wait 1 s for a host before they try another.
@@ -95,7 +96,7 @@
 	}
 	expected := proto.Clone(logged).(*wire.BackendState)
 	expected.Seq = a.InstanceState.Seq
-	return a.InstanceState.Seq >= logged.Seq && proto.Equal(expected, a.InstanceState)
+	return a.InstanceState.Seq >= logged.Seq && proto.Equal(expected, state.WithLeaving(a.InstanceState, logged))
 }
 
 // Withdraw records that an instance is shutting down. The incarnation is the instance's start
--- a/internal/control/state/declare_test.go
+++ b/internal/control/state/declare_test.go
@@ -81,6 +81,11 @@
 			So(s.Apply(3, announceCommand("a", "h:1", 100, 5, wire.LifecycleState_READY)).Ok, ShouldBeFalse)
 			So(s.Get(spec.Backends, "a").Backend.Standing, ShouldEqual, wire.LifecycleState_DRAINING)
 		})
+		Convey("A later announcement of the same incarnation does not take that back", func() {
+			So(s.Apply(3, announceCommand("a", "h:1", 100, 7, wire.LifecycleState_READY)).Ok, ShouldBeTrue)
+			So(s.Get(spec.Backends, "a").Backend.Standing, ShouldEqual, wire.LifecycleState_DRAINING)
+			So(s.Get(spec.Backends, "a").Backend.Seq, ShouldEqual, 7)
+		})
 		Convey("After a withdrawal, no announcement of the same incarnation brings it back", func() {
 			So(s.Apply(3, withdrawCommand("a", 100)).Ok, ShouldBeTrue)
 			So(s.Apply(4, announceCommand("a", "h:1", 100, 9, wire.LifecycleState_READY)).Ok, ShouldBeFalse)
--- a/internal/control/state/state__apply.go
+++ b/internal/control/state/state__apply.go
@@ -115,10 +115,22 @@
 		return rejected
 	}
 	r := s.cloneOrNew(spec.Backends, a.Name)
-	r.Backend = a.Run
+	r.Backend = WithLeaving(a.Run, r.Backend)
 	return s.storeResource(index, r)
 }
 
+// WithLeaving returns what an instance announces, as it is recorded after what it had announced before:
+// an incarnation that leaves cannot take that back, since others count on it from then on.
+func WithLeaving(announced, before *wire.BackendState) *wire.BackendState {
+	leaves := before.GetStanding() == wire.LifecycleState_DRAINING && before.Born == announced.GetBorn()
+	if announced == nil || !leaves || announced.Standing != wire.LifecycleState_READY {
+		return announced
+	}
+	recorded := proto.Clone(announced).(*wire.BackendState)
+	recorded.Standing = wire.LifecycleState_DRAINING
+	return recorded
+}
+
 // groupInTerm returns a modifiable copy of a group if the group is still in the given term, and a
 // rejection otherwise.
 func (s *State) groupInTerm(name string, term uint64) (*wire.Resource, *wire.Outcome) {
