group: Begin a hand-over of a group with its own servers only once enough have answered

What operators and callers would see: leaving: true on a primary whose other servers are down closes the group for reads and writes until one of them is back, although the primary could have served on.

Cause: the term was sealed as soon as another server was known that does not leave. All servers are fenced then, the primary too, and a choice needs the answers of a quorum.

Now the leader asks all servers for their status while the primary serves on, and seals once a server that does not leave and enough trusted disks for a choice have answered within 0.5 s. If the choice falls on the leaving primary again, since it alone has the whole log, the next hand-over waits as on the other path; the pauses have become a type of their own for both.

--- a/internal/control/group/group.go
+++ b/internal/control/group/group.go
@@ -79,6 +79,8 @@
 
 // Report is an instance's answer to a Fence or Promote request.
 type Report struct {
+	// ReportedAt is when the leader sent the request.
+	ReportedAt time.Time
 	// DiskID identifies the instance's disk; an instance that lost its data has a new one.
 	DiskID string
 	// Term is the highest term that the instance has accepted.
@@ -128,6 +130,7 @@
 	lastOpened           time.Time
 	backoff              time.Duration
 	consecutiveFailovers int
+	handOvers            handOverPacer
 }
 
 // Step returns the actions that follow from a view. It is called after every change and at
@@ -152,6 +155,9 @@
 	if f.lastSent != nil && f.term == v.State.GetTerm() && f.phase == v.State.GetPhase() {
 		return
 	}
+	if v.State.GetPhase() == wire.Phase_OPEN {
+		f.handOvers.termOpened(now, f.phase, v.instance(v.State.Primary).Draining)
+	}
 	f.term = v.State.GetTerm()
 	f.phase = v.State.GetPhase()
 	f.phaseSince = now
@@ -216,24 +222,32 @@
 	if v.PrimaryFailed && now.Sub(f.phaseSince) >= f.backoff {
 		return f.seal(now, v, ReasonPrimaryFailed)
 	}
-	if primaryDraining(v) {
-		return f.seal(now, v, ReasonPrimaryDraining)
+	if v.instance(v.State.Primary).Draining && f.handOvers.due(now) {
+		return f.handOver(now, v)
 	}
 	return nil
 }
 
-// primaryDraining reports whether the primary is being drained and another instance can
-// replace it.
-func primaryDraining(v View) bool {
-	draining, successor := false, false
+// handOver ends the term of a draining primary once another instance can take over and enough
+// instances for a choice have answered. Until then the primary serves on, and they are queried.
+func (f *Failover) handOver(now time.Time, v View) []Action {
+	var actions []Action
+	answered, successor := 0, false
 	for _, in := range v.Instances {
-		if in.Name == v.State.Primary {
-			draining = in.Draining
+		r, ok := v.Reports[in.Name]
+		if !ok || now.Sub(r.ReportedAt) >= successorAnswerAge || !v.trustsDisk(in.Name, r) {
+			if f.shouldSend(now, in.Name) {
+				actions = append(actions, QueryStatus{Instance: in.Name})
+			}
 			continue
 		}
+		answered++
 		successor = successor || !in.Draining
 	}
-	return draining && successor
+	if successor && answered >= v.RequiredCount() {
+		return f.seal(now, v, ReasonPrimaryDraining)
+	}
+	return actions
 }
 
 // seal proposes to end the term for the given reason. The next term is higher than any that
--- a/internal/control/group/group__choose.go
+++ b/internal/control/group/group__choose.go
@@ -52,13 +52,18 @@
 func (v View) eligibleReports() map[string]Report {
 	eligible := map[string]Report{}
 	for name, r := range v.Reports {
-		if r.Term == v.State.Term && (v.bootstrapping() || v.lossAccepted() || v.State.Disks[name] == r.DiskID) {
+		if r.Term == v.State.Term && v.trustsDisk(name, r) {
 			eligible[name] = r
 		}
 	}
 	return eligible
 }
 
+// trustsDisk reports whether the report of an instance comes from a disk that counts.
+func (v View) trustsDisk(name string, r Report) bool {
+	return v.bootstrapping() || v.lossAccepted() || v.State.Disks[name] == r.DiskID
+}
+
 // lossAccepted reports whether an operator accepts the loss of writes in the sealed term.
 func (v View) lossAccepted() bool {
 	return v.AcceptLossInTerm != 0 && v.AcceptLossInTerm == v.State.Term
--- a/internal/control/group/platform_failover.go
+++ b/internal/control/group/platform_failover.go
@@ -155,10 +155,7 @@
 	lastQueried       map[string]time.Time // by instance
 	lastProposed      time.Time
 	promotionFailedAt map[string]time.Time // by instance
-	// failedHandOvers counts the hand-overs in a row after which the term opened with a primary that
-	// leaves, and nextHandOver is the earliest time of the next one.
-	failedHandOvers int
-	nextHandOver    time.Time
+	handOvers         handOverPacer
 }
 
 // promotionRetryDelay is how long an instance whose promotion failed is not chosen again while
@@ -191,7 +188,8 @@
 		return
 	}
 	if v.State.GetPhase() == wire.Phase_OPEN {
-		f.recordHandOver(now, v)
+		primary, _ := v.candidate(v.State.Primary)
+		f.handOvers.termOpened(now, f.phase, primary.Draining)
 	}
 	f.term, f.phase, f.fenceToken = v.State.GetTerm(), v.State.GetPhase(), v.State.GetFence()
 	f.phaseSince = now
--- a/internal/control/group/platform_failover__leaving.go
+++ b/internal/control/group/platform_failover__leaving.go
@@ -1,23 +1,10 @@
 package group
 
-import (
-	"time"
+import "time"
 
-	"github.com/agatespindle/agatespindle/internal/base/wire"
-)
-
-const (
-	// successorAnswerAge is the maximum age of the status by which an instance counts as able to take
-	// over from a primary that leaves: longer than a status query may take.
-	successorAnswerAge = 500 * time.Millisecond
-	// minHandOverPause is the pause after a first hand-over that failed. It doubles with each further
-	// one, up to maxHandOverPause.
-	minHandOverPause = 500 * time.Millisecond
-	maxHandOverPause = 4 * time.Second
-	// minLeavingTerm is the least time that an instance must still be usable for to be chosen as the
-	// primary. A promotion takes most of it.
-	minLeavingTerm = time.Second
-)
+// minLeavingTerm is the least time that an instance must still be usable for to be chosen as the
+// primary. A promotion takes most of it.
+const minLeavingTerm = time.Second
 
 // leavesBefore reports whether the instance is draining and gets no new requests at a time.
 func (c Candidate) leavesBefore(at time.Time) bool { return c.Draining && !at.Before(c.LeaveDeadline) }
@@ -32,7 +19,7 @@
 // handOver ends the term of a primary that leaves once another instance has answered and can take
 // over. Until then the primary serves on, and the others are queried.
 func (f *PlatformFailover) handOver(now time.Time, v PlatformView) []Action {
-	if now.Before(f.nextHandOver) {
+	if !f.handOvers.due(now) {
 		return f.resumeReplication(now, v)
 	}
 	var actions []Action
@@ -53,18 +40,3 @@
 	}
 	return actions
 }
-
-// recordHandOver is called when a term has opened. A term of a primary that leaves, after one that was
-// sealed, means that no other instance could take over, so that the next hand-over is put off.
-func (f *PlatformFailover) recordHandOver(now time.Time, v PlatformView) {
-	primary, known := v.candidate(v.State.Primary)
-	if !known || !primary.Draining {
-		f.failedHandOvers, f.nextHandOver = 0, time.Time{}
-		return
-	}
-	if f.phase != wire.Phase_SEALED && f.phase != wire.Phase_CHOSEN {
-		return
-	}
-	f.nextHandOver = now.Add(min(minHandOverPause<<min(f.failedHandOvers, 8), maxHandOverPause))
-	f.failedHandOvers++
-}
--- a/internal/control/leader/leader__groups.go
+++ b/internal/control/leader/leader__groups.go
@@ -122,6 +122,10 @@
 		l.sendServerRequest(ctx, name, a.Instance, addrs[a.Instance], func(ctx context.Context, s adapt.Server) (adapt.Status, error) {
 			return s.Fence(ctx, a.Term)
 		})
+	case group.QueryStatus:
+		l.sendServerRequest(ctx, name, a.Instance, addrs[a.Instance], func(ctx context.Context, s adapt.Server) (adapt.Status, error) {
+			return s.Status(ctx)
+		})
 	case group.Promote:
 		l.sendServerRequest(ctx, name, a.Instance, addrs[a.Instance], func(ctx context.Context, s adapt.Server) (adapt.Status, error) {
 			return s.Promote(ctx, a.Term, a.Start)
@@ -139,6 +143,7 @@
 	l.background("order "+instance, func() {
 		ctx, cancel := context.WithTimeout(ctx, serverRequestTimeout)
 		defer cancel()
+		sentAt := l.Now()
 		st, err := send(ctx, l.Server(addr))
 		if err != nil {
 			l.Log.WithError(err).WithField("instance", instance).Debug("request to backend server failed")
@@ -150,14 +155,14 @@
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		if l.term == term {
-			l.storeReport(name, st)
+			l.storeReport(name, sentAt, st)
 		}
 	})
 }
 
-func (l *Leader) storeReport(name string, st adapt.Status) {
+func (l *Leader) storeReport(name string, sentAt time.Time, st adapt.Status) {
 	if l.instanceReports[name] == nil {
 		l.instanceReports[name] = map[string]group.Report{}
 	}
-	l.instanceReports[name][st.Name] = group.Report{DiskID: st.Disk, Term: st.Term, LastTerm: st.LastTerm, Position: st.Position, Primary: st.Primary}
+	l.instanceReports[name][st.Name] = group.Report{ReportedAt: sentAt, DiskID: st.Disk, Term: st.Term, LastTerm: st.LastTerm, Position: st.Position, Primary: st.Primary}
 }
