soak, mimic: Let primaries leave, beside silent replicas and other faults

Each run of the soak now replaces primaries one after the other: a primary announces that it leaves and lives on past its bound (2 s here), half of the time with the other instances silent for a while, while hosts are killed, paused and restarted as before; then another instance with its log takes its address. The simulated instances report each request past the bound. Replacements have a random sequence of their own, so that the other faults of a seed stay as they were.

--- a/internal/backend/mimic/instance.go
+++ b/internal/backend/mimic/instance.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -50,7 +51,7 @@
 }
 
 // Start adds an instance to the group and serves connections at addr. The first instance is the
-// primary. It returns an error if addr cannot be listened on.
+// primary; later ones start with its log. It returns an error if addr cannot be listened on.
 func (g *Group) Start(name, addr, zone string) (*Instance, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
@@ -66,6 +67,7 @@
 		g.term = 1
 		g.primary = in
 	}
+	in.log, in.term = slices.Clone(g.primary.log), g.term
 	g.instances[name] = in
 	g.mu.Unlock()
 	in.wg.Add(1)
--- a/internal/tools/soak/host.go
+++ b/internal/tools/soak/host.go
@@ -46,6 +46,8 @@
 	var s platform.Settings
 	s.Host, s.IP, s.Center, s.InternalPorts, s.Seeds, s.Bootstrap = h.name, h.ip, "a", []int{portLink, portLink + 15}, seeds, bootstrap
 	s.Serves, s.Bounds.GraceSeconds = []string{h.role}, graceSeconds
+	drainMillis := float64(leaveBound.Milliseconds())
+	s.Bounds.DrainMillis = &drainMillis
 	if h.role == "control" {
 		s.Listen.Control, s.DataDir, s.Cloud.Addr = addr(h.ip, portControl), filepath.Join(h.dir, h.name), cloud
 	} else {
--- a/internal/tools/soak/soak.go
+++ b/internal/tools/soak/soak.go
@@ -25,6 +25,9 @@
 	healthyTimeout = 20 * time.Second
 	// maxConnections is the number of connections that an instance accepts.
 	maxConnections = 16
+	// leaveBound is how long after its announcement an instance that leaves may get new requests. It is
+	// short, so that it passes several times in a run.
+	leaveBound = 2 * time.Second
 	// pollInterval is the time between two checks of a condition.
 	pollInterval = 50 * time.Millisecond
 )
@@ -68,12 +71,15 @@
 // run is the state of a soak run.
 type run struct {
 	Options
-	rng            *rand.Rand
-	control        []*host
-	entry          []*host
-	group          *mimic.Group
-	cloud          *mimic.Cloud
-	relays         []*relay
+	rng      *rand.Rand
+	releases releases
+	control  []*host
+	entry    []*host
+	group    *mimic.Group
+	cloud    *mimic.Cloud
+	relays   []*relay
+	// instances are the instances behind the relays, the latest one behind each.
+	instances      [3]*mimic.Instance
 	workload       workload
 	configVersion  uint64 // version of the configuration sent last
 	faults         int
@@ -91,7 +97,7 @@
 // start; violations and a failed recovery are in the report.
 func Run(ctx context.Context, opt Options) (Report, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	r := &run{Options: opt, rng: rand.New(rand.NewPCG(opt.Seed, 0))}
+	r := &run{Options: opt, rng: rand.New(rand.NewPCG(opt.Seed, 0)), releases: releases{rng: rand.New(rand.NewPCG(opt.Seed, 1))}}
 	defer r.shutDown(cancel)
 	if r.Logf == nil {
 		r.Logf = func(string, ...any) {}
@@ -120,7 +126,7 @@
 func (r *run) start(ctx context.Context) error {
 	r.group = &mimic.Group{
 		Name: "ledger", Lag: 30 * time.Millisecond, PromotionDelay: 150 * time.Millisecond, MaxConns: maxConnections,
-		Slots: 2, QueueLimit: 16, StatementTime: 2 * time.Millisecond,
+		Slots: 2, QueueLimit: 16, StatementTime: 2 * time.Millisecond, LeaveBound: leaveBound,
 	}
 	var err error
 	if r.cloud, err = mimic.StartCloud(r.group, r.AddrPrefix+"250:8783", r.rng.IntN(2) == 0); err != nil {
@@ -167,21 +173,31 @@
 // startInstances starts three instances, each behind a relay. They announce the relay's address.
 func (r *run) startInstances(ctx context.Context, control []string) error {
 	for i := range 3 {
-		instance, err := r.group.Start(fmt.Sprint("i-", i), fmt.Sprintf("%s%d:8069", r.AddrPrefix, 200+i), "a")
+		target := fmt.Sprintf("%s%d:8069", r.AddrPrefix, 200+i)
+		rl, err := startRelay(ctx, fmt.Sprintf("%s%d:8069", r.AddrPrefix, 210+i), target)
 		if err != nil {
 			return err
 		}
-		instance.HeartbeatAddr = fmt.Sprintf("%s%d:8069", r.AddrPrefix, 210+i)
-		rl, err := startRelay(ctx, instance.HeartbeatAddr, instance.Addr)
-		if err != nil {
+		r.relays = append(r.relays, rl)
+		if err := r.startInstance(ctx, fmt.Sprint("i-", i), i, control); err != nil {
 			return err
 		}
-		r.relays = append(r.relays, rl)
-		instance.SendHeartbeats(ctx, append(control[i%len(control):len(control):len(control)], control...), 200*time.Millisecond)
 	}
 	return nil
 }
 
+// startInstance starts an instance behind relay i, which sends its heartbeats to the control hosts.
+func (r *run) startInstance(ctx context.Context, name string, i int, control []string) error {
+	instance, err := r.group.Start(name, r.relays[i].target, "a")
+	if err != nil {
+		return err
+	}
+	instance.HeartbeatAddr = r.relays[i].ln.Addr().String()
+	r.instances[i] = instance
+	instance.SendHeartbeats(ctx, append(control[i%len(control):len(control):len(control)], control...), 200*time.Millisecond)
+	return nil
+}
+
 func (r *run) allHosts() []*host { return append(append([]*host(nil), r.control...), r.entry...) }
 
 // configBody returns the JSON of a configuration with the given version.
@@ -275,6 +291,7 @@
 	end := time.Now().Add(r.FaultDuration)
 	for time.Now().Before(end) && ctx.Err() == nil {
 		r.injectFault(ctx)
+		r.releasePrimary(ctx, time.Now())
 		clock.Sleep(ctx, time.Duration(100+r.rng.IntN(700))*time.Millisecond)
 		r.runDueRecoveries(time.Now())
 		r.readConfig(r.control[r.rng.IntN(len(r.control))])
@@ -364,6 +381,7 @@
 			rep.MayHaveRun++
 		}
 	}
+	rep.Violations = append(rep.Violations, r.group.LateRequests()...)
 	if n := r.group.PeakConns(); n > maxConnections {
 		rep.Violations = append(rep.Violations, fmt.Sprintf("%d simultaneous connections to an instance exceed its limit", n))
 	}
@@ -382,8 +400,8 @@
 		r.cloud.Close()
 	}
 	if r.group != nil {
-		for i := range r.relays {
-			if instance := r.group.Instance(fmt.Sprint("i-", i)); instance != nil && !instance.Crashed() {
+		for _, instance := range r.instances {
+			if instance != nil && !instance.Crashed() {
 				instance.Crash()
 			}
 		}
