sess, story: Say in a refusal how the primary's deadline stood

An on-call engineer who explains a refused request now sees whether its primary was leaving, and how long its deadline had passed or was still off. The lines around a request reach back 10 s in place of 5, since the announcement comes up to the bound before the refusals.

--- a/internal/tools/story/story.go
+++ b/internal/tools/story/story.go
@@ -17,7 +17,7 @@
 const (
 	// contextBefore and contextAfter bound the time before the request's first line and after its
 	// last one in which other lines about its groups and instances are included.
-	contextBefore = 5 * time.Second
+	contextBefore = 10 * time.Second
 	contextAfter  = time.Second
 	// maxLineBytes is the maximum length of a line; a longer one fails the read.
 	maxLineBytes = 1 << 20
@@ -114,7 +114,7 @@
 		return fmt.Sprintf("try %s at instance %s failed (%s): %s; required position %s, term %s, after %s; view of the resources %s old",
 			l.field("try"), l.field("instance"), l.field("stage"), l.field("cause"), l.field("needed"), l.field("term"), l.field("took"), l.field("viewage"))
 	case sess.EventRefused:
-		return fmt.Sprintf("request refused with %s after %s tries and %s; term %s of group %s open: %s, primary %s, lease valid: %s, latest known position %s old, view of the resources %s old",
+		return leavingText(l) + fmt.Sprintf("request refused with %s after %s tries and %s; term %s of group %s open: %s, primary %s, lease valid: %s, latest known position %s old, view of the resources %s old",
 			l.field("code"), l.field("tries"), l.field("took"), l.field("term"), l.field("group"), l.field("open"), l.field("primary"), l.field("leased"), l.field("positionage"), l.field("viewage"))
 	case sess.EventTransactionEnded:
 		return fmt.Sprintf("transaction ended with %s at %s on instance %s: %s; had written: %s",
@@ -131,6 +131,19 @@
 	return l.Message + " " + string(b)
 }
 
+// leavingText says how the primary's deadline for leaving stood when a request was refused, if the
+// primary was leaving.
+func leavingText(l logLine) string {
+	left, err := time.ParseDuration(l.field("leavein"))
+	switch {
+	case err != nil:
+		return ""
+	case left > 0:
+		return fmt.Sprintf("primary %s leaves and gets new requests for another %s: ", l.field("primary"), left)
+	}
+	return fmt.Sprintf("primary %s leaves and has got no new requests since its deadline %s ago: ", l.field("primary"), -left)
+}
+
 // summarize returns one line with the outcome of a request and the number of log lines that its
 // hosts skipped.
 func summarize(related []logLine, id string) string {
--- a/internal/tools/story/story_test.go
+++ b/internal/tools/story/story_test.go
@@ -33,6 +33,18 @@
 		So(got[4], ShouldContainSubstring, "refused with busy")
 		So(got[5], ShouldEqual, "request 7f: ended with busy; 3 earlier lines of host edge-1 were skipped by the log's rate limit")
 	})
+	Convey("A refusal names the deadline of a primary that leaves, and the announcement some seconds before", t, func() {
+		log := `{"fields":{"instance":"i-1","group":"g","age":"90ms","host":"edge-1"},"timestamp":"2026-01-01T10:00:00Z","message":"instance is leaving"}
+{"fields":{"request":"81","group":"g","code":"leaving","primary":"i-1","leavein":"-750ms","host":"edge-1"},"timestamp":"2026-01-01T10:00:07.2Z","message":"request refused"}
+{"fields":{"request":"82","group":"g","code":"busy","primary":"i-1","leavein":"2s","host":"edge-1"},"timestamp":"2026-01-01T10:00:04.5Z","message":"request refused"}`
+		var b strings.Builder
+		So(story.Explain(&b, strings.NewReader(log), "81"), ShouldBeNil)
+		So(b.String(), ShouldContainSubstring, "instance is leaving")
+		So(b.String(), ShouldContainSubstring, "primary i-1 leaves and has got no new requests since its deadline 750ms ago: request refused with leaving")
+		b.Reset()
+		So(story.Explain(&b, strings.NewReader(log), "82"), ShouldBeNil)
+		So(b.String(), ShouldContainSubstring, "primary i-1 leaves and gets new requests for another 2s")
+	})
 	Convey("An ID that no line mentions returns ErrNotFound", t, func() {
 		var b strings.Builder
 		So(errors.Is(story.Explain(&b, strings.NewReader(lines), "nobody"), story.ErrNotFound), ShouldBeTrue)
--- a/internal/traffic/pool/leaving.go
+++ b/internal/traffic/pool/leaving.go
@@ -16,6 +16,16 @@
 	return deadline != nil && !now.Before(*deadline)
 }
 
+// LeaveDeadline returns the time from which the instance gets no new requests, and whether it is
+// leaving.
+func (p *Pool) LeaveDeadline() (time.Time, bool) {
+	deadline := p.leaveDeadline.Load()
+	if deadline == nil {
+		return time.Time{}, false
+	}
+	return *deadline, true
+}
+
 // withhold returns the answer to a request outside of a transaction that must not be sent any more,
 // and whether it must not. It is called right before a request is sent, which may have waited for
 // a long time since an instance was chosen for it.
--- a/internal/traffic/sess/requestlog.go
+++ b/internal/traffic/sess/requestlog.go
@@ -63,12 +63,27 @@
 func (e *execution) logRefusal(now time.Time, code flow.Code) {
 	topology := e.session.mgr.Topology
 	e.session.mgr.logRequest(now, EventRefused, log.Fields{
+		"leavein": e.primaryLeavesIn(now),
 		"request": e.requestID, "database": e.db.Name, "group": e.db.Group, "code": code.String(), "tries": e.tries, "took": now.Sub(e.started).String(),
 		"term": e.group.Term, "open": e.group.Open, "primary": e.group.Primary, "leased": topology.Agent.LeaseValid(now), "number": topology.Snapshot().ManifestNumber,
 		"positionage": e.group.PositionAge(now).String(), "viewage": e.session.mgr.viewAge(now),
 	})
 }
 
+// primaryLeavesIn returns how long the primary may still get new requests, negative after its deadline,
+// as text for log lines; "" if it is not leaving.
+func (e *execution) primaryLeavesIn(now time.Time) string {
+	primary := e.group.Member(e.group.Primary)
+	if primary == nil {
+		return ""
+	}
+	deadline, leaving := primary.LeaveDeadline()
+	if !leaving {
+		return ""
+	}
+	return deadline.Sub(now).String()
+}
+
 // logServed logs a successful statement if it belongs to the sample.
 func (e *execution) logServed(now time.Time, m *topo.Member) {
 	if !logs.Sampled(e.requestID) {
