--- a/internal/tools/story/losses.go
+++ b/internal/tools/story/losses.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"regexp"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -185,12 +186,17 @@
 	counts[name]++
 }
 
+// addrPattern matches an IPv4 address with a port.
+var addrPattern = regexp.MustCompile(`\d{1,3}(\.\d{1,3}){3}:\d{1,5}`)
+
 // reasonOf returns the reason of a line: the cause of a failed try, with its stage, or the code. The
-// name of the instance is removed from the cause, so that the same causes are counted together.
+// name of the instance and addresses are removed from the cause, so that the same causes are counted
+// together.
 func reasonOf(l logLine) string {
 	reason := l.field("code")
 	if l.Message == sess.EventTryFailed {
-		reason = l.field("stage") + ": " + strings.ReplaceAll(l.field("cause"), l.field("instance"), "I")
+		cause := strings.ReplaceAll(l.field("cause"), l.field("instance"), "I")
+		reason = l.field("stage") + ": " + addrPattern.ReplaceAllString(cause, "ADDR")
 	}
 	if len(reason) > maxReasonBytes {
 		reason = strings.ToValidUTF8(reason[:maxReasonBytes], "") + "…"
--- a/internal/tools/story/losses_test.go
+++ b/internal/tools/story/losses_test.go
@@ -77,3 +77,17 @@
 		So(report.Unreadable, ShouldEqual, 1)
 	})
 }
+
+// TestLossesGroupAddresses guards against a line of its own for each connection that failed.
+func TestLossesGroupAddresses(t *testing.T) {
+	Convey("Causes that differ in addresses only are counted together", t, func() {
+		var lines strings.Builder
+		for port := range 3 {
+			fmt.Fprintf(&lines, `{"fields":{"group":"g","instance":"i-9","stage":"sent","cause":"read tcp 10.0.0.1:%d->10.2.0.9:8664: i/o timeout"},"timestamp":"2026-01-01T10:00:00Z","message":"try failed"}`+"\n", 4000+port)
+		}
+		report := losses(lines.String(), story.LossOptions{Interval: time.Second})
+		So(report.Losses, ShouldHaveLength, 1)
+		So(report.Losses[0].Count, ShouldEqual, 3)
+		So(report.Losses[0].Reason, ShouldEqual, "sent: read tcp ADDR->ADDR: i/o timeout")
+	})
+}
