pool: Give back an admission slot only after its connection

Callers of a lender in a burst could find more connections open than the instance runs statements: the slot was given back when the answer came, the connection a moment later, so that the next statement, admitted in between, opened one of its own. Each opening takes 12 ms of a slot of the instance.

The slot of a last request now goes back with the handle, after the connection.

--- a/internal/traffic/pool/queued_handle.go
+++ b/internal/traffic/pool/queued_handle.go
@@ -18,6 +18,9 @@
 	deadline time.Time
 	// conn is nil until the first request is admitted.
 	conn *Conn
+	// freeSlot gives back the admission slot of the last request, after its connection; nil if none is
+	// held. The next statement would open a connection of its own if it got the slot first.
+	freeSlot func()
 }
 
 var _ Handle = (*queuedHandle)(nil)
@@ -66,7 +69,11 @@
 	if !ok {
 		return h.pool.overloaded(flow.Idle), flow.Answered, nil
 	}
-	defer release()
+	if last {
+		h.freeSlot = release
+	} else {
+		defer release()
+	}
 	now := h.pool.Now()
 	c, err := h.pool.Get(context.Background(), h.deadline.Sub(now), h.prio)
 	if err != nil {
@@ -89,6 +96,7 @@
 	if h.conn != nil {
 		h.conn.Release()
 	}
+	h.releaseSlot()
 }
 
 // Close implements Handle.
@@ -96,4 +104,12 @@
 	if h.conn != nil {
 		h.conn.Close()
 	}
+	h.releaseSlot()
+}
+
+func (h *queuedHandle) releaseSlot() {
+	if h.freeSlot != nil {
+		h.freeSlot()
+		h.freeSlot = nil
+	}
 }
