--- a/internal/backend/mimic/instance.go
+++ b/internal/backend/mimic/instance.go
@@ -31,6 +31,8 @@
 	crashed            bool
 	replicationStopped bool
 	responsesToDrop    int
+	// accepted are all connections, conns those that have started a session.
+	accepted map[net.Conn]bool
 	// leaving is set once the instance announces that it leaves, and leavingAckedAt when the
 	// announcement was acknowledged.
 	leaving        bool
@@ -57,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	in := &Instance{Name: name, Addr: ln.Addr().String(), Zone: zone, group: g, ln: ln, startedAtMs: time.Now().UnixMilli(), term: 1, conns: map[net.Conn]bool{}}
+	in := &Instance{Name: name, Addr: ln.Addr().String(), Zone: zone, group: g, ln: ln, startedAtMs: time.Now().UnixMilli(), term: 1, conns: map[net.Conn]bool{}, accepted: map[net.Conn]bool{}}
 	if g.Slots > 0 {
 		in.slots = make(chan struct{}, g.Slots)
 	}
@@ -83,21 +85,45 @@
 		if err != nil {
 			return
 		}
+		if !in.track(c) {
+			c.Close()
+			return
+		}
 		in.wg.Add(1)
 		go func() {
 			defer in.wg.Done()
-			defer c.Close()
+			defer in.untrack(c)
 			in.serve(c)
 		}()
 	}
 }
 
+// track records an accepted connection, whether or not its caller ever says anything. It returns false
+// if the instance has crashed.
+func (in *Instance) track(c net.Conn) bool {
+	in.group.mu.Lock()
+	defer in.group.mu.Unlock()
+	if in.crashed {
+		return false
+	}
+	in.accepted[c] = true
+	return true
+}
+
+// untrack closes an accepted connection.
+func (in *Instance) untrack(c net.Conn) {
+	c.Close()
+	in.group.mu.Lock()
+	defer in.group.mu.Unlock()
+	delete(in.accepted, c)
+}
+
 // Crash stops the instance abruptly: it closes all connections without a final message and waits
 // for their goroutines.
 func (in *Instance) Crash() {
 	in.group.mu.Lock()
 	in.crashed = true
-	for c := range in.conns {
+	for c := range in.accepted {
 		c.Close()
 	}
 	in.group.mu.Unlock()
