agent, group, mimic: Use one name and one copy for the age of what hosts know

Reading the change as a newcomer: the age of a view was formatted in two places, the time of an answer had two names, and the connections of a simulated instance stood apart. No behaviour changes.

--- a/internal/backend/mimic/instance.go
+++ b/internal/backend/mimic/instance.go
@@ -31,13 +31,12 @@
 	crashed            bool
 	replicationStopped bool
 	responsesToDrop    int
-	// accepted are all connections, conns those that have started a session.
-	accepted map[net.Conn]bool
-	// leaving is set once the instance announces that it leaves, and leavingAckedAt when the
-	// announcement was acknowledged.
+	// leaving is set once the instance announces that it leaves, and leavingAckedAt is when that was
+	// acknowledged.
 	leaving        bool
 	leavingAckedAt time.Time
-	conns          map[net.Conn]bool
+	// accepted has all connections, conns those that have started a session.
+	accepted, conns map[net.Conn]bool
 	// overloaded is an injected fault: every statement that needs a slot is refused.
 	overloaded atomic.Bool
 	wg         sync.WaitGroup
--- a/internal/control/agent/agent__leaving.go
+++ b/internal/control/agent/agent__leaving.go
@@ -33,12 +33,11 @@
 	return now.Sub(since).String()
 }
 
-// Confirmed returns a time up to which this host's view has all committed changes, or the zero time if
-// there is none.
-func (a *Agent) Confirmed() time.Time {
+// ViewAge returns the highest age of this host's view, for log lines.
+func (a *Agent) ViewAge(now time.Time) string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.hostLease.Confirmed()
+	return ageText(now, a.hostLease.Confirmed())
 }
 
 // LeavingSince returns the earliest time at which an instance that started at born (Unix milliseconds)
--- a/internal/control/group/group.go
+++ b/internal/control/group/group.go
@@ -77,10 +77,10 @@
 	Draining bool
 }
 
-// Report is an instance's answer to a Fence or Promote request.
+// Report is an instance's answer to a Fence, Promote or QueryStatus request.
 type Report struct {
-	// ReportedAt is when the leader sent the request.
-	ReportedAt time.Time
+	// QueriedAt is when the leader sent the request.
+	QueriedAt time.Time
 	// DiskID identifies the instance's disk; an instance that lost its data has a new one.
 	DiskID string
 	// Term is the highest term that the instance has accepted.
@@ -235,7 +235,7 @@
 	answered, successor := 0, false
 	for _, in := range v.Instances {
 		r, ok := v.Reports[in.Name]
-		if !ok || now.Sub(r.ReportedAt) >= successorAnswerAge || !v.trustsDisk(in.Name, r) {
+		if !ok || now.Sub(r.QueriedAt) >= successorAnswerAge || !v.trustsDisk(in.Name, r) {
 			if f.shouldSend(now, in.Name) {
 				actions = append(actions, QueryStatus{Instance: in.Name})
 			}
--- a/internal/control/group/leaving_pg_test.go
+++ b/internal/control/group/handover_test.go
@@ -22,7 +22,7 @@
 			Instances: []group.Instance{{Name: "a", Draining: true}, {Name: "b"}, {Name: "c"}},
 		}
 		report := func(name string) {
-			v.Reports[name] = group.Report{ReportedAt: now, DiskID: name + "1", Term: 4}
+			v.Reports[name] = group.Report{QueriedAt: now, DiskID: name + "1", Term: 4}
 		}
 		step := func() string {
 			now = now.Add(100 * time.Millisecond)
@@ -46,7 +46,7 @@
 			now = now.Add(time.Second)
 			report("a")
 			So(step(), ShouldBeEmpty)
-			v.Reports["b"] = group.Report{ReportedAt: now, DiskID: "b2", Term: 4}
+			v.Reports["b"] = group.Report{QueriedAt: now, DiskID: "b2", Term: 4}
 			So(step(), ShouldBeEmpty)
 		})
 		Convey("After a hand-over that chose the leaving primary again, the next one waits", func() {
--- a/internal/control/leader/leader__groups.go
+++ b/internal/control/leader/leader__groups.go
@@ -164,5 +164,5 @@
 	if l.instanceReports[name] == nil {
 		l.instanceReports[name] = map[string]group.Report{}
 	}
-	l.instanceReports[name][st.Name] = group.Report{ReportedAt: sentAt, DiskID: st.Disk, Term: st.Term, LastTerm: st.LastTerm, Position: st.Position, Primary: st.Primary}
+	l.instanceReports[name][st.Name] = group.Report{QueriedAt: sentAt, DiskID: st.Disk, Term: st.Term, LastTerm: st.LastTerm, Position: st.Position, Primary: st.Primary}
 }
--- a/internal/traffic/sess/requestlog.go
+++ b/internal/traffic/sess/requestlog.go
@@ -42,20 +42,11 @@
 	m.Log.WithFields(fields).Info(event)
 }
 
-// viewAge returns the highest age of the resources by which requests are routed, for log lines.
-func (m *Manager) viewAge(now time.Time) string {
-	confirmed := m.Topology.Agent.Confirmed()
-	if confirmed.IsZero() {
-		return "unknown"
-	}
-	return now.Sub(confirmed).String()
-}
-
 // logFailedTry logs a failed try.
 func (e *execution) logFailedTry(now time.Time, m *topo.Member, stage flow.Stage, cause string) {
 	e.session.mgr.logRequest(now, EventTryFailed, log.Fields{
 		"request": e.requestID, "database": e.db.Name, "group": e.db.Group, "instance": m.Instance, "stage": stage.String(), "cause": cause,
-		"try": e.tries, "needed": e.minPosition.Position, "term": e.group.Term, "took": now.Sub(e.started).String(), "viewage": e.session.mgr.viewAge(now),
+		"try": e.tries, "needed": e.minPosition.Position, "term": e.group.Term, "took": now.Sub(e.started).String(), "viewage": e.session.mgr.Topology.Agent.ViewAge(now),
 	})
 }
 
@@ -66,7 +57,7 @@
 		"leavein": e.primaryLeavesIn(now),
 		"request": e.requestID, "database": e.db.Name, "group": e.db.Group, "code": code.String(), "tries": e.tries, "took": now.Sub(e.started).String(),
 		"term": e.group.Term, "open": e.group.Open, "primary": e.group.Primary, "leased": topology.Agent.LeaseValid(now), "number": topology.Snapshot().ManifestNumber,
-		"positionage": e.group.PositionAge(now).String(), "viewage": e.session.mgr.viewAge(now),
+		"positionage": e.group.PositionAge(now).String(), "viewage": e.session.mgr.Topology.Agent.ViewAge(now),
 	})
 }
 
@@ -91,7 +82,7 @@
 	}
 	e.session.mgr.logRequest(now, EventServed, log.Fields{
 		"request": e.requestID, "database": e.db.Name, "group": e.db.Group, "instance": m.Instance, "try": e.tries,
-		"needed": e.minPosition.Position, "term": e.group.Term, "took": now.Sub(e.started).String(), "viewage": e.session.mgr.viewAge(now),
+		"needed": e.minPosition.Position, "term": e.group.Term, "took": now.Sub(e.started).String(), "viewage": e.session.mgr.Topology.Agent.ViewAge(now),
 	})
 }
 
