--- a/internal/traffic/pool/conn.go
+++ b/internal/traffic/pool/conn.go
@@ -29,8 +29,9 @@
 	// Run sets the session values on the connection, prepares the statement if needed, and runs
 	// the request, all within timeout. If last is set, the connection isn't needed after the
 	// answer unless a transaction is open then. The stage tells how far the request got. A
-	// request that gets no admission slot in time has an answer with code flow.Overloaded and
-	// no error, and one to an instance that has left has code flow.Leaving. After an error the handle must be closed.
+	// request that gets no admission slot in time has an answer with code flow.Overloaded, and
+	// one outside of a transaction to an instance that has left has code flow.Leaving; neither
+	// is an error. After an error the handle must be closed.
 	Run(timeout time.Duration, values flow.Values, req flow.Request, last bool) (flow.Answer, flow.Stage, error)
 	// Release returns the connection to its pool.
 	Release()
