pool, soak, lend: Read the leave deadline and the control addresses in one place each

Reading the whole change once more: HasLeft read the deadline beside LeaveDeadline, the soak listed its control addresses twice, two tests of lend built the same control host, and the comment of checkPrimary no longer said when a term ends. No behaviour changes.

--- a/internal/control/group/platform_failover.go
+++ b/internal/control/group/platform_failover.go
@@ -238,9 +238,9 @@
 	return &wire.LogPosition{Term: p.Term, Number: p.Number}
 }
 
-// checkPrimary ends an open term if the primary has failed or has been deposed, or if it leaves or has
-// left and another instance can replace it. Early in the term it also lets replicas resume
-// replication.
+// checkPrimary ends an open term if the primary has failed, has been deposed or is gone, at its deadline
+// if it leaves, or before that once another instance can replace it. Early in the term it also lets
+// replicas resume replication.
 func (f *PlatformFailover) checkPrimary(now time.Time, v PlatformView) []Action {
 	primary, known := v.candidate(v.State.Primary)
 	switch {
--- a/internal/tools/soak/release.go
+++ b/internal/tools/soak/release.go
@@ -57,15 +57,7 @@
 	}
 	name := fmt.Sprintf("i-%d-%d", i, r.releases.started)
 	r.Logf("start %s in the place of %s", name, r.instances[i].Name)
-	if err := r.startInstance(ctx, name, i, r.controlAddrs()); err != nil {
+	if err := r.startInstance(ctx, name, i); err != nil {
 		r.Logf("start of %s failed: %v", name, err)
 	}
 }
-
-func (r *run) controlAddrs() []string {
-	var list []string
-	for _, h := range r.control {
-		list = append(list, addr(h.ip, portControl))
-	}
-	return list
-}
--- a/internal/tools/soak/soak.go
+++ b/internal/tools/soak/soak.go
@@ -132,19 +132,17 @@
 	if r.cloud, err = mimic.StartCloud(r.group, r.AddrPrefix+"250:8783", r.rng.IntN(2) == 0); err != nil {
 		return err
 	}
-	var seeds, control []string
 	for i := range r.ControlHosts {
 		h := &host{name: fmt.Sprint("core-", i), ip: fmt.Sprint(r.AddrPrefix, 1+i), role: "control", dir: r.Dir, binary: r.Binary}
 		r.control = append(r.control, h)
-		control = append(control, addr(h.ip, portControl))
 	}
-	seeds = control[:min(3, len(control))]
+	seeds := r.controlAddrs()[:min(3, r.ControlHosts)]
 	for i := range r.EntryHosts {
 		h := &host{name: fmt.Sprint("edge-", i), ip: fmt.Sprint(r.AddrPrefix, 50+i), role: "edge", dir: r.Dir, binary: r.Binary}
 		r.entry = append(r.entry, h)
 		r.workload.callerAddrs = append(r.workload.callerAddrs, addr(h.ip, portCallers))
 	}
-	if err := r.startInstances(ctx, control); err != nil {
+	if err := r.startInstances(ctx); err != nil {
 		return err
 	}
 	for _, h := range r.allHosts() {
@@ -171,7 +169,7 @@
 }
 
 // startInstances starts three instances, each behind a relay. They announce the relay's address.
-func (r *run) startInstances(ctx context.Context, control []string) error {
+func (r *run) startInstances(ctx context.Context) error {
 	for i := range 3 {
 		target := fmt.Sprintf("%s%d:8069", r.AddrPrefix, 200+i)
 		rl, err := startRelay(ctx, fmt.Sprintf("%s%d:8069", r.AddrPrefix, 210+i), target)
@@ -179,7 +177,7 @@
 			return err
 		}
 		r.relays = append(r.relays, rl)
-		if err := r.startInstance(ctx, fmt.Sprint("i-", i), i, control); err != nil {
+		if err := r.startInstance(ctx, fmt.Sprint("i-", i), i); err != nil {
 			return err
 		}
 	}
@@ -187,17 +185,27 @@
 }
 
 // startInstance starts an instance behind relay i, which sends its heartbeats to the control hosts.
-func (r *run) startInstance(ctx context.Context, name string, i int, control []string) error {
+func (r *run) startInstance(ctx context.Context, name string, i int) error {
 	instance, err := r.group.Start(name, r.relays[i].target, "a")
 	if err != nil {
 		return err
 	}
 	instance.HeartbeatAddr = r.relays[i].ln.Addr().String()
 	r.instances[i] = instance
+	control := r.controlAddrs()
 	instance.SendHeartbeats(ctx, append(control[i%len(control):len(control):len(control)], control...), 200*time.Millisecond)
 	return nil
 }
 
+// controlAddrs returns the addresses at which control hosts serve instances and operators.
+func (r *run) controlAddrs() []string {
+	var list []string
+	for _, h := range r.control {
+		list = append(list, addr(h.ip, portControl))
+	}
+	return list
+}
+
 func (r *run) allHosts() []*host { return append(append([]*host(nil), r.control...), r.entry...) }
 
 // configBody returns the JSON of a configuration with the given version.
--- a/internal/traffic/lend/leaving_test.go
+++ b/internal/traffic/lend/leaving_test.go
@@ -12,7 +12,6 @@
 	"github.com/agatespindle/agatespindle/internal/base/clock"
 	"github.com/agatespindle/agatespindle/internal/base/conf"
 	"github.com/agatespindle/agatespindle/internal/base/link"
-	"github.com/agatespindle/agatespindle/internal/base/logs"
 	"github.com/agatespindle/agatespindle/internal/base/meter"
 	"github.com/agatespindle/agatespindle/internal/base/wire"
 	"github.com/agatespindle/agatespindle/internal/control/agent"
@@ -20,26 +19,16 @@
 	"github.com/agatespindle/agatespindle/internal/traffic/flow"
 	"github.com/agatespindle/agatespindle/internal/traffic/lend"
 	"github.com/agatespindle/agatespindle/internal/traffic/pool"
-	"github.com/agatespindle/agatespindle/internal/traffic/topo"
 )
 
 // TestLenderWithholdsFromLeavingInstance guards against requests that reach a leaving instance through a
 // lender, which may know of its deadline when the host that borrows does not.
 func TestLenderWithholdsFromLeavingInstance(t *testing.T) {
 	Convey("Given a control host that lends connections to an instance that has left", t, func() {
-		a := &agent.Agent{Peers: []conf.Peer{{LinkAddr: "127.0.0.1:1"}}, Log: logs.Discard(), Meter: meter.New(), Now: clock.Monotonic}
-		a.Prepare()
-		topology := &topo.Topology{Host: "k", Center: "a", LendOnly: true, Agent: a, Log: logs.Discard(), Meter: meter.New(), Now: clock.Monotonic}
+		a, topology := newLendingHost()
 		topology.Borrow = func(string, string, string, pool.Priority, time.Duration) (pool.Handle, error) {
 			return nil, errors.New("unused")
 		}
-		topology.NewPool = func(group, instance, addr string, _ bool, slots int) *pool.Pool {
-			return &pool.Pool{
-				Group: group, Instance: instance, Addr: addr, Slots: slots, Log: logs.Discard(), Meter: meter.New(), Now: topology.Now,
-				Dial: func(context.Context, string) (net.Conn, error) { return nil, errors.New("unreachable") },
-			}
-		}
-		topology.Prepare()
 		m := spec.Manifest{Number: 1, Groups: []spec.ManifestGroup{{Name: "g", MaxConnections: 22}}}
 		a.OnView(agent.NewView(1, []*wire.Resource{
 			{Kind: string(spec.Manifests), Name: spec.CurrentManifest, Version: 1, Revision: 1, Spec: m.Encode()},
--- a/internal/traffic/lend/lend_test.go
+++ b/internal/traffic/lend/lend_test.go
@@ -22,21 +22,27 @@
 	"github.com/agatespindle/agatespindle/internal/traffic/topo"
 )
 
+// newLendingHost returns the agent and the topology of a control host that reaches no instance.
+func newLendingHost() (*agent.Agent, *topo.Topology) {
+	a := &agent.Agent{Peers: []conf.Peer{{LinkAddr: "127.0.0.1:1"}}, Log: logs.Discard(), Meter: meter.New(), Now: clock.Monotonic}
+	a.Prepare()
+	topology := &topo.Topology{Host: "k", Center: "a", LendOnly: true, Agent: a, Log: logs.Discard(), Meter: meter.New(), Now: clock.Monotonic}
+	topology.NewPool = func(group, instance, addr string, _ bool, slots int) *pool.Pool {
+		return &pool.Pool{
+			Group: group, Instance: instance, Addr: addr, Slots: slots, Log: logs.Discard(), Meter: meter.New(), Now: topology.Now,
+			Dial: func(context.Context, string) (net.Conn, error) { return nil, errors.New("unreachable") },
+		}
+	}
+	topology.Prepare()
+	return a, topology
+}
+
 // TestRequestsWaitForStartingLender guards against the failure in inc-4975 (juguetoteca-uy): after a
 // restart of all hosts a control host learned of the instances 100 ms later than the hosts that
 // borrowed from it. It refused their requests, and each opened a connection of its own.
 func TestRequestsWaitForStartingLender(t *testing.T) {
 	Convey("Given a control host that knows no instance yet", t, func() {
-		a := &agent.Agent{Peers: []conf.Peer{{LinkAddr: "127.0.0.1:1"}}, Log: logs.Discard(), Meter: meter.New(), Now: clock.Monotonic}
-		a.Prepare()
-		topology := &topo.Topology{Host: "k", Center: "a", LendOnly: true, Agent: a, Log: logs.Discard(), Meter: meter.New(), Now: time.Now}
-		topology.NewPool = func(group, instance, addr string, _ bool, slots int) *pool.Pool {
-			return &pool.Pool{
-				Group: group, Instance: instance, Addr: addr, Slots: slots, Log: logs.Discard(), Meter: meter.New(), Now: topology.Now,
-				Dial: func(context.Context, string) (net.Conn, error) { return nil, errors.New("unreachable") },
-			}
-		}
-		topology.Prepare()
+		a, topology := newLendingHost()
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
 		ctx, cancel := context.WithCancel(t.Context())
--- a/internal/traffic/pool/leaving.go
+++ b/internal/traffic/pool/leaving.go
@@ -12,8 +12,8 @@
 
 // HasLeft reports whether the instance is leaving and gets no new requests any more.
 func (p *Pool) HasLeft(now time.Time) bool {
-	deadline := p.leaveDeadline.Load()
-	return deadline != nil && !now.Before(*deadline)
+	deadline, leaving := p.LeaveDeadline()
+	return leaving && !now.Before(deadline)
 }
 
 // LeaveDeadline returns the time from which the instance gets no new requests, and whether it is
@@ -30,7 +30,7 @@
 // and whether it must not. It is called right before a request is sent, which may have waited for
 // a long time since an instance was chosen for it.
 func (p *Pool) withhold() (flow.Answer, bool) {
-	if p.leaveDeadline.Load() == nil || !p.HasLeft(p.Now()) {
+	if _, leaving := p.LeaveDeadline(); !leaving || !p.HasLeft(p.Now()) {
 		return flow.Answer{}, false
 	}
 	p.Meter.AddCounter("tries.withheld.leaving", 1)
