review: case 4, a drain lets busy sessions go on and breaks off what they run

Cause: the drain polls for sessions without a running statement; nothing closes a session after its answer.

--- a/review/rig/instance.go
+++ b/review/rig/instance.go
@@ -56,6 +56,8 @@
 	primary   *Instance
 	instances []*Instance
 	fence     uint64
+	// ran has the time at which an instance began to run a request, by its id.
+	ran map[string]time.Time
 }
 
 // Instance is one server of a group.
@@ -85,7 +87,7 @@
 func (r *Rig) NewGroup(name string, syncReplicas int) *Group {
 	g := &Group{
 		Name: name, Sync: syncReplicas, Lag: 20 * time.Millisecond, PromoteDelay: 600 * time.Millisecond, WorkTime: 3 * time.Millisecond,
-		MaxConns: 16, Slots: 2, rig: r, term: 1,
+		MaxConns: 16, Slots: 2, rig: r, term: 1, ran: map[string]time.Time{},
 	}
 	g.changed = sync.NewCond(&g.mu)
 	return g
@@ -382,6 +384,7 @@
 	switch word {
 	case "READ", "WRITE", "EXEC", "COMMIT", "STAT":
 		in.slots <- struct{}{}
+		g.recordRun(id)
 		time.Sleep(g.WorkTime)
 		<-in.slots
 	}
@@ -424,6 +427,23 @@
 	return s.fail("MALFORMED")
 }
 
+// recordRun records that an instance begins to run a request.
+func (g *Group) recordRun(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, again := g.ran[id]; !again {
+		g.ran[id] = time.Now()
+	}
+}
+
+// RanAt returns when an instance first began to run a request, and whether one did.
+func (g *Group) RanAt(id string) (time.Time, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	at, ok := g.ran[id]
+	return at, ok
+}
+
 func (in *Instance) leads() bool {
 	in.group.mu.Lock()
 	defer in.group.mu.Unlock()
