--- a/review/rig/cmd/cutanswer/main.go
+++ b/review/rig/cmd/cutanswer/main.go
@@ -1,5 +1,5 @@
 // Command cutanswer sends SIGTERM to an entry host whose clients are receiving answers over its own link of
-// 32 Mbit/s. It checks that each request that was passed on to an instance gets its whole answer.
+// 64 Mbit/s. It checks that each request that was passed on to an instance gets its whole answer.
 package main
 
 import (
@@ -14,12 +14,13 @@
 )
 
 const (
-	// linkMbps is the bandwidth of an edge machine's own link, as on the grown installations.
-	linkMbps = 32
-	clients  = 4
+	// linkMbps is the bandwidth of the machine's own link, between the 2 of the grown and the 1,000 of the small
+	// installations.
+	linkMbps = 64
+	clients  = 8
 	// stagger is the time between the starts of two clients.
-	stagger = 250 * time.Millisecond
-	// An answer of 1000 rows of 1000 bytes takes 0.25 s on the link, and 1 s beside three others.
+	stagger = 125 * time.Millisecond
+	// An answer of 1000 rows of 1000 bytes takes 0.125 s on the link, and 1 s beside seven others.
 	// It is smaller than what a host buffers for a client that reads slowly (1 MiB beside the socket).
 	rows, rowBytes = 1000, 1000
 	// routeTimeoutMs and clientLimit are those of the read-only kind of request on a small installation.
