review: case 1, a replaced control host and two lost disks end the quorum for good

Cause: a replacement joins as a sixth voter while the removed host still counts, for 8 s at least; two lost disks, which are tolerated, then leave three of six.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,5 +3,5 @@
 # TROUBLE=0 it plays the same without the disruption. Needs the build of the deploy file and review/build.sh.
 set -u
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/review/synccopies ] && [ -x target/agatespindle-node ] || { echo "not built" >&2; exit 2; }
-exec target/review/synccopies review/2/record.txt
+[ -x target/review/drainingcopy ] && [ -x target/agatespindle-node ] || { echo "not built" >&2; exit 2; }
+exec target/review/drainingcopy review/2/record.txt
