front: Log connections that the host closes while it owes an answer

What callers saw: a request without an answer around a SIGTERM, and nothing in the logs of its host. Neither the reason for which a connection was closed nor what it still owed was told, so the hypotheses of the incident could not be told apart.

No decision changes.

--- a/internal/tools/story/story.go
+++ b/internal/tools/story/story.go
@@ -121,6 +121,9 @@
 			l.field("code"), l.field("kind"), l.field("instance"), l.field("cause"), l.field("wrote"))
 	case sess.EventCallerLeft:
 		return fmt.Sprintf("caller left after %s, before the answer", l.field("took"))
+	case sess.EventCut:
+		return fmt.Sprintf("host closed the caller's connection: request running: %s (for %s), %s bytes of answers not sent, %s bytes of messages not handled; draining for %s",
+			l.field("busy"), l.field("took"), l.field("unsent"), l.field("unhandled"), l.field("draining"))
 	case sess.EventServed:
 		return fmt.Sprintf("served by instance %s on try %s after %s", l.field("instance"), l.field("try"), l.field("took"))
 	}
@@ -157,6 +160,8 @@
 			outcome = "ended with " + l.field("code")
 		case sess.EventCallerLeft:
 			outcome = "its caller left before the answer"
+		case sess.EventCut:
+			outcome = "its host closed the connection before the answer was sent"
 		case sess.EventServed:
 			outcome = "answered"
 		}
--- a/internal/traffic/front/caller.go
+++ b/internal/traffic/front/caller.go
@@ -27,7 +27,10 @@
 	session *sess.Session
 	// cancel ends the running statement, if any: its caller no longer waits for the answer.
 	cancel context.CancelFunc
-	out    []byte
+	// running is the ID of the running statement, or of the last one; startedAt is when it arrived.
+	running   string
+	startedAt time.Time
+	out       []byte
 	// partialSince is when the first part of an incomplete message was seen; zero if there is none.
 	partialSince time.Time
 	// closing is how the connection is to be closed once it is idle; ended is set once that was decided.
@@ -137,7 +140,7 @@
 		c.out = c.srv.Codec.AppendAnswer(c.out[:0], a)
 		return c.out, gnet.None
 	}
-	c.busy = true
+	c.busy, c.running, c.startedAt = true, m.Statement.ID, now
 	c.srv.wg.Add(1)
 	go c.runStatement(*m.Statement)
 	return nil, gnet.None
--- a/internal/traffic/front/front.go
+++ b/internal/traffic/front/front.go
@@ -111,7 +111,9 @@
 	callers map[*caller]struct{}
 	// drained is set once no connection is left during a drain; new ones are refused from then on.
 	drained bool
-	wg      sync.WaitGroup
+	// drainStarted is when the drain began; zero if the host does not drain.
+	drainStarted time.Time
+	wg           sync.WaitGroup
 }
 
 var _ gnet.EventHandler = (*Server)(nil)
@@ -187,11 +189,14 @@
 }
 
 // OnClose implements gnet.EventHandler.
-func (s *Server) OnClose(c gnet.Conn, _ error) gnet.Action {
+func (s *Server) OnClose(c gnet.Conn, err error) gnet.Action {
 	cl, ok := c.Context().(*caller)
 	if !ok {
 		return gnet.None
 	}
+	if err == nil {
+		cl.logCut(s.Now())
+	}
 	s.mu.Lock()
 	delete(s.callers, cl)
 	s.mu.Unlock()
@@ -253,6 +258,9 @@
 // ctx is done.
 func (s *Server) Drain(ctx context.Context) {
 	started := s.Now()
+	s.mu.Lock()
+	s.drainStarted = started
+	s.mu.Unlock()
 	s.Log.WithField("sessions", len(s.listCallers())).Info("draining caller connections")
 	for ctx.Err() == nil {
 		now := s.Now()
