front: Answer everything that was read before a drain ends a connection

What callers saw: requests that ended without an answer 5.5 s after a SIGTERM, the drain's limit; some had run.

Cause: a drain closed a connection when it found it idle, and cut at its limit what it never found idle: callers that send ahead, and statements begun on connections opened meanwhile, although their own time limit was later.

A caller that sends ahead is closed once its host has acknowledged all answers: a reset drops them otherwise. A caller that reads slowly holds up its next statement and is cut only when it reads nothing for the message timeout; before, its next statement cut the answers before it.

Ruled out: waiting for the acknowledgement of every answer. A caller that sends one statement at a time would never be found idle; its next statement shows that it has the answer.

--- a/internal/traffic/front/caller.go
+++ b/internal/traffic/front/caller.go
@@ -9,6 +9,8 @@
 	"github.com/panjf2000/gnet/v2"
 
 	"github.com/agatespindle/agatespindle/internal/base/clock"
+	"github.com/agatespindle/agatespindle/internal/base/sock"
+	"github.com/agatespindle/agatespindle/internal/traffic/drain"
 	"github.com/agatespindle/agatespindle/internal/traffic/flow"
 	"github.com/agatespindle/agatespindle/internal/traffic/sess"
 )
@@ -30,89 +32,154 @@
 	// running is the ID of the running statement, or of the last one; startedAt is when it arrived.
 	running   string
 	startedAt time.Time
-	out       []byte
+	// fallback is the answer to the running statement if it does not end in time; nil if none runs.
+	fallback *flow.Answer
+	// abandoned is set once fallback has been sent. The statement may still run and use the session, so
+	// that later messages are refused.
+	abandoned bool
+	// abandonedState is the transaction state that the caller was told last, once abandoned is set.
+	abandonedState flow.State
+	out            []byte
 	// partialSince is when the first part of an incomplete message was seen; zero if there is none.
 	partialSince time.Time
-	// closing is how the connection is to be closed once it is idle; ended is set once that was decided.
-	closing closing
-	ended   bool
+	// blockedSince is when a message began to wait for the caller to read answers, or since when the
+	// caller has read nothing of them; zero if none waits. blockedBytes were unread then.
+	blockedSince time.Time
+	blockedBytes int
+	// used is set once a statement has arrived.
+	used bool
+	// sendsAhead is set once the caller has sent a statement before the answer to the last one.
+	sendsAhead bool
+	// shedding is set once the connection is to be closed as soon as it is idle.
+	shedding bool
+	// ending is set once no further message is handled: the connection is closed when all answers have
+	// been sent. endingSince is when that was decided.
+	ending      bool
+	endingSince time.Time
 }
 
-// closing says whether a connection takes further requests.
-type closing int
-
-const (
-	// staysOpen means that it does.
-	staysOpen closing = iota
-	// closesWhenIdle means that it is closed once the last answer has been written and no transaction is
-	// open.
-	closesWhenIdle
-	// closesAfterAnswer means the same, whether or not a transaction is open.
-	closesAfterAnswer
-)
-
-// handleTraffic handles the complete messages in the input buffer. It runs in the event loop. It
-// does not hold mu while writing an answer, because the engine may close the connection, and so call
-// handleClose, during the write.
+// handleTraffic handles the complete messages in the input buffer and closes the connection if that is
+// due. It runs in the event loop: only there is it certain that no message is read between that
+// decision and the close. It does not hold mu while writing an answer, because the engine may close the
+// connection, and so call handleClose, during the write.
 func (c *caller) handleTraffic(now time.Time) gnet.Action {
 	for {
-		out, again, act := c.handleNext(now)
+		out, again := c.handleNext(now)
 		if len(out) > 0 {
 			if _, err := c.conn.Write(out); err != nil {
 				return gnet.Close
 			}
 		}
-		if !again || act == gnet.Close {
-			return act
+		if !again {
+			return c.closeIfDone(now)
 		}
 	}
 }
 
-// handleNext handles one message. It returns the bytes to write, whether to look for another message,
-// and whether to close the connection.
-func (c *caller) handleNext(now time.Time) (out []byte, again bool, act gnet.Action) {
+// handleNext handles one message. It returns the bytes to write and whether to look for another message.
+func (c *caller) handleNext(now time.Time) (out []byte, again bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.busy || c.closed || c.ended {
-		return nil, false, gnet.None
+	if c.closed || c.ending {
+		return nil, false
 	}
 	b, err := c.conn.Peek(-1)
+	if c.busy && !c.abandoned {
+		c.sendsAhead = c.sendsAhead || c.used && len(b) > 0
+		return nil, false
+	}
 	if err != nil || len(b) == 0 {
-		return nil, false, c.closeIfIdle()
+		return nil, false
 	}
 	m, n, err := c.srv.Codec.ParseMessage(b)
 	if err != nil {
-		return c.reject(err), false, gnet.Close
+		c.end(now)
+		return c.reject(err), false
 	}
 	if n == 0 {
 		if c.partialSince.IsZero() {
 			c.partialSince = now
 		}
-		return nil, false, gnet.None
+		return nil, false
 	}
 	c.partialSince = time.Time{}
-	// An answer may be larger than the limit; a caller that does not read gets no further one.
-	if limit := c.srv.Limits.UnreadBytes; limit > 0 && c.conn.OutboundBuffered() > limit {
-		c.srv.Meter.AddCounter("refused.unread", 1)
-		return nil, false, gnet.Close
+	if c.blocked(now) {
+		return nil, false
 	}
 	if _, err := c.conn.Discard(n); err != nil {
-		return nil, false, gnet.Close
+		c.end(now)
+		return nil, false
+	}
+	return c.handleMessage(now, m), true
+}
+
+// blocked reports whether a message waits until the caller has read more of the answers before it.
+// c.mu must be held, and the event loop must call it.
+func (c *caller) blocked(now time.Time) bool {
+	unread, limit := c.conn.OutboundBuffered(), c.srv.Limits.UnreadBytes
+	if limit == 0 || unread <= limit {
+		c.blockedSince = time.Time{}
+		return false
+	}
+	if c.blockedSince.IsZero() || unread < c.blockedBytes {
+		c.blockedSince, c.blockedBytes = now, unread
 	}
-	out, act = c.handleMessage(now, m)
-	return out, true, act
+	return true
 }
 
-// closeIfIdle returns gnet.Close if the connection is to be closed and nothing is left to be done for
-// its caller: no answer is on its way, and no message has arrived in part. gnet drops what it has not
-// sent when it closes a connection. c.mu must be held, and the event loop must call it.
-func (c *caller) closeIfIdle() gnet.Action {
-	inTransaction := c.session != nil && c.session.State() != flow.Idle
-	if c.closing == staysOpen || c.closing == closesWhenIdle && inTransaction || c.conn.OutboundBuffered() > 0 {
+// end has the connection closed once all answers have been sent. c.mu must be held.
+func (c *caller) end(now time.Time) {
+	if !c.ending {
+		c.ending, c.endingSince = true, now
+	}
+}
+
+// closeIfDone returns gnet.Close if the connection is to be closed and nothing is owed to its caller.
+// gnet drops what it has not sent when it closes a connection.
+func (c *caller) closeIfDone(now time.Time) gnet.Action {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return gnet.None
+	}
+	if c.ending {
+		if c.conn.OutboundBuffered() > 0 && now.Sub(c.endingSince) < c.srv.Limits.unsentTimeout() {
+			return gnet.None
+		}
+		return gnet.Close
+	}
+	schedule := c.srv.drainSchedule()
+	if !c.shedding && !schedule.ClosesIdle(now) {
 		return gnet.None
 	}
-	c.ended = true
-	return gnet.Close
+	state := c.state()
+	if schedule.Closes(now, state) || c.shedding && state.Idle(now) {
+		return gnet.Close
+	}
+	return gnet.None
+}
+
+// state returns the state of the connection for the decision to close it. c.mu must be held, and the
+// event loop must call it.
+func (c *caller) state() drain.Conn {
+	st := drain.Conn{
+		Opened: c.connectedAt, Used: c.used, Running: c.busy, Received: c.conn.InboundBuffered(), Unsent: c.conn.OutboundBuffered(),
+		InTransaction: !c.abandoned && c.session != nil && c.session.State() != flow.Idle,
+	}
+	if c.abandoned {
+		st.Running = false
+	}
+	if c.sendsAhead && !st.Running {
+		// The next message of such a caller may arrive after the close; the reset that it causes drops
+		// what the caller's host has not received.
+		received, unsent, err := sock.Pending(c.conn.Fd())
+		if err != nil {
+			c.srv.Meter.AddCounter("callers.pending.unknown", 1)
+			c.srv.Log.WithField("error", err.Error()).Debug("kernel does not tell what is pending on a caller connection")
+		}
+		st.Received, st.Unsent = st.Received+received, st.Unsent+unsent
+	}
+	return st
 }
 
 // reject returns the error answer to a message that the codec cannot parse.
@@ -125,33 +192,76 @@
 	return c.srv.Codec.AppendStartupAnswer(nil, flow.ErrorAnswer(code, flow.Idle, err.Error()))
 }
 
-// handleMessage handles a parsed message. c.mu must be held.
-func (c *caller) handleMessage(now time.Time, m Message) ([]byte, gnet.Action) {
+// handleMessage handles a parsed message and returns the bytes to write. c.mu must be held.
+func (c *caller) handleMessage(now time.Time, m Message) []byte {
 	switch {
 	case m.Quit:
-		return nil, gnet.Close
+		c.end(now)
+		return nil
 	case m.Startup != nil:
 		return c.handleStartup(now, m.Startup)
+	case c.abandoned:
+		return c.refuseAfterAbandoned(*m.Statement)
 	case c.session == nil:
 		c.srv.Meter.AddCounter("refused.nosession", 1)
-		return nil, gnet.Close
+		c.end(now)
+		return nil
+	}
+	return c.handleStatement(now, *m.Statement)
+}
+
+// handleStatement answers a statement that needs no instance, and starts or refuses any other. c.mu must
+// be held.
+func (c *caller) handleStatement(now time.Time, st flow.Statement) []byte {
+	if c.used && c.conn.InboundBuffered() > 0 {
+		c.sendsAhead = true
+	}
+	c.used = true
+	if c.refuses(now, st) {
+		c.srv.Meter.AddCounter("refused.draining", 1)
+		c.out = c.srv.Codec.AppendAnswer(c.out[:0], c.session.Refuse(st))
+		return c.out
 	}
-	if a, ok := c.session.RunLocal(now, *m.Statement); ok {
+	if a, ok := c.session.RunLocal(now, st); ok {
 		c.out = c.srv.Codec.AppendAnswer(c.out[:0], a)
-		return c.out, gnet.None
+		return c.out
 	}
-	c.busy, c.running, c.startedAt = true, m.Statement.ID, now
+	fallback := c.session.AnswerIfAbandoned(st)
+	c.busy, c.running, c.startedAt, c.fallback = true, st.ID, now, &fallback
 	c.srv.wg.Add(1)
-	go c.runStatement(*m.Statement)
-	return nil, gnet.None
+	go c.runStatement(st)
+	return nil
+}
+
+// refuses reports whether a statement is not started because the host drains.
+func (c *caller) refuses(now time.Time, st flow.Statement) bool {
+	schedule := c.srv.drainSchedule()
+	switch st.Kind {
+	case flow.Begin, flow.BeginRead:
+		return !schedule.StartsTransaction(now)
+	case flow.Read, flow.Write, flow.Exec, flow.Commit:
+		return !schedule.StartsRequest(now, c.session.Timeout())
+	}
+	return false
+}
+
+// refuseAfterAbandoned refuses a statement that follows an abandoned one. c.mu must be held.
+func (c *caller) refuseAfterAbandoned(st flow.Statement) []byte {
+	c.srv.Meter.AddCounter("refused.draining", 1)
+	if st.Kind == flow.Commit || st.Kind == flow.Rollback {
+		c.abandonedState = flow.Idle
+	}
+	c.out = c.srv.Codec.AppendAnswer(nil, flow.ErrorAnswer(flow.Busy, c.abandonedState, "host is shutting down"))
+	return c.out
 }
 
 // handleStartup opens a session. On a host that has just started it holds the startup message for a
 // moment instead of refusing it: the host learns the declared databases soon, and other hosts may
 // have restarted at the same time.
-func (c *caller) handleStartup(now time.Time, startup *Startup) ([]byte, gnet.Action) {
-	if c.session != nil {
-		return nil, gnet.Close
+func (c *caller) handleStartup(now time.Time, startup *Startup) []byte {
+	if c.session != nil || c.abandoned {
+		c.end(now)
+		return nil
 	}
 	if c.srv.CanOpenSession(now) || c.srv.DatabasesKnown == nil {
 		return c.startSession(now, startup)
@@ -160,22 +270,30 @@
 	c.busy = true
 	c.srv.wg.Add(1)
 	go c.awaitDatabases(*startup)
-	return nil, gnet.None
+	return nil
 }
 
 // startSession opens a session or answers why it cannot. c.mu must be held.
-func (c *caller) startSession(now time.Time, startup *Startup) ([]byte, gnet.Action) {
+func (c *caller) startSession(now time.Time, startup *Startup) []byte {
 	if !c.srv.CanOpenSession(now) {
-		c.srv.Meter.AddCounter("refused.notready", 1)
-		return c.srv.Codec.AppendStartupAnswer(nil, flow.ErrorAnswer(flow.Busy, flow.Idle, "host is not ready")), gnet.Close
+		return c.refuseStartup(now, "notready", flow.ErrorAnswer(flow.Busy, flow.Idle, "host is not ready"))
 	}
 	session, ok := c.srv.Sessions.Open(startup.Database)
 	if !ok {
-		c.srv.Meter.AddCounter("refused.nodatabase", 1)
-		return c.srv.Codec.AppendStartupAnswer(nil, flow.ErrorAnswer(flow.NoDatabase, flow.Idle, startup.Database)), gnet.Close
+		return c.refuseStartup(now, "nodatabase", flow.ErrorAnswer(flow.NoDatabase, flow.Idle, startup.Database))
+	}
+	if !c.srv.drainSchedule().StartsRequest(now, session.Timeout()) {
+		return c.refuseStartup(now, "draining", flow.ErrorAnswer(flow.Busy, flow.Idle, "host is shutting down"))
 	}
 	c.session = session
-	return c.srv.Codec.AppendStartupAnswer(nil, flow.SuccessAnswer(flow.Idle)), gnet.None
+	return c.srv.Codec.AppendStartupAnswer(nil, flow.SuccessAnswer(flow.Idle))
+}
+
+// refuseStartup answers a startup message with an error and has the connection closed. c.mu must be held.
+func (c *caller) refuseStartup(now time.Time, reason string, a flow.Answer) []byte {
+	c.srv.Meter.AddCounter("refused."+reason, 1)
+	c.end(now)
+	return c.srv.Codec.AppendStartupAnswer(nil, a)
 }
 
 // awaitDatabases answers a held startup message once the host knows the declared databases, or after
@@ -186,9 +304,9 @@
 	defer cancel()
 	clock.Await(ctx, c.srv.DatabasesKnown)
 	c.mu.Lock()
-	out, act := c.startSession(c.srv.Now(), &startup)
+	out := c.startSession(c.srv.Now(), &startup)
 	c.mu.Unlock()
-	c.reply(out, act)
+	c.reply(out)
 }
 
 // runStatement runs one statement. It is called in its own goroutine.
@@ -205,18 +323,39 @@
 	c.mu.Unlock()
 	a := c.session.Run(ctx, st)
 	c.mu.Lock()
-	c.cancel = nil
+	c.cancel, c.fallback = nil, nil
 	if c.closed {
 		c.session.CallerLeft(c.srv.Now(), started, st)
 	}
+	if c.abandoned {
+		c.mu.Unlock()
+		c.finish()
+		return
+	}
 	c.out = c.srv.Codec.AppendAnswer(c.out[:0], a)
 	out := c.out
 	c.mu.Unlock()
-	c.reply(out, gnet.None)
+	c.reply(out)
+}
+
+// abandon answers a statement that still runs with what is certain of it.
+func (c *caller) abandon() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.fallback == nil {
+		return
+	}
+	c.srv.Meter.AddCounter("refused.overdue", 1)
+	c.abandoned, c.abandonedState = true, c.fallback.State
+	out := c.srv.Codec.AppendAnswer(nil, *c.fallback)
+	c.fallback = nil
+	if err := c.conn.AsyncWrite(out, func(gnet.Conn, error) error { return c.conn.Wake(nil) }); err != nil {
+		c.srv.Log.WithField("error", err.Error()).WithField("request", c.running).Info("answer to an overdue statement could not be sent")
+	}
 }
 
 // reply writes an answer and then handles the next message or closes the connection.
-func (c *caller) reply(out []byte, act gnet.Action) {
+func (c *caller) reply(out []byte) {
 	c.mu.Lock()
 	closed := c.closed
 	c.mu.Unlock()
@@ -226,8 +365,8 @@
 	}
 	err := c.conn.AsyncWrite(out, func(gnet.Conn, error) error {
 		c.finish()
-		if act == gnet.Close || c.handleTraffic(c.srv.Now()) == gnet.Close {
-			return c.conn.Close()
+		if c.handleTraffic(c.srv.Now()) == gnet.Close {
+			return c.conn.Wake(nil)
 		}
 		return nil
 	})
@@ -236,12 +375,13 @@
 	}
 }
 
-// finish clears busy and ends the session if the connection was closed in the meantime.
+// finish clears busy. It ends the session if the connection was closed in the meantime, or if its
+// caller was told that the statement did not end in time.
 func (c *caller) finish() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = false
-	if c.closed && c.session != nil {
+	if (c.closed || c.abandoned) && c.session != nil {
 		c.session.Close()
 		c.session = nil
 	}
@@ -271,57 +411,57 @@
 	}
 }
 
-// enforceTimeouts closes the connection if a message, or the startup message, takes longer to arrive
-// than Limits.MessageTimeout.
+// enforceTimeouts closes the connection, after its last answer, if a message, or the startup message,
+// takes longer to arrive than Limits.MessageTimeout.
 func (c *caller) enforceTimeouts(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	timeout := c.srv.Limits.MessageTimeout
-	if c.busy || c.closed || timeout == 0 {
+	if c.closed {
+		return
+	}
+	if c.ending || !c.blockedSince.IsZero() {
+		// The caller may have read answers since.
+		defer c.wake()
+	}
+	if c.busy || c.ending || timeout == 0 {
 		return
 	}
 	switch {
 	case !c.partialSince.IsZero() && now.Sub(c.partialSince) > timeout:
 		c.srv.Meter.AddCounter("refused.slowmessage", 1)
+	case !c.blockedSince.IsZero() && now.Sub(c.blockedSince) > timeout:
+		c.srv.Meter.AddCounter("refused.unread", 1)
+		c.end(c.blockedSince)
 	case c.session == nil && now.Sub(c.connectedAt) > timeout:
 		c.srv.Meter.AddCounter("refused.noopening", 1)
 	default:
 		return
 	}
-	c.disconnect()
+	c.end(now)
+	c.wake()
 }
 
-// disconnect ends the session and closes the connection. c.mu must be held.
-func (c *caller) disconnect() {
-	c.closed = true
-	if c.session != nil {
-		c.session.Close()
-		c.session = nil
-	}
-	_ = c.conn.Close()
-}
+// wake has the event loop decide whether to close the connection: it alone knows which answers have been
+// sent and which messages have arrived.
+func (c *caller) wake() { _ = c.conn.Wake(nil) }
 
-// closeWhenIdle has the connection closed as soon as it is idle: at once, or after the answer to the
-// running statement. What the caller sends after that answer would be broken off later.
-func (c *caller) closeWhenIdle(how closing) {
+// closeWhenIdle has the connection closed if it is idle, by the rules of the drain.
+func (c *caller) closeWhenIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
-		return
-	}
-	c.closing = max(c.closing, how)
-	if !c.busy {
-		// The event loop alone knows whether all answers have been sent.
-		_ = c.conn.Wake(nil)
+	if !c.closed && (!c.busy || c.abandoned) {
+		c.wake()
 	}
 }
 
-// shed has the connection closed if it is idle now.
+// shed has the connection closed once it is idle.
 func (c *caller) shed() {
 	c.mu.Lock()
-	idle := !c.busy && (c.session == nil || c.session.State() == flow.Idle)
-	c.mu.Unlock()
-	if idle {
-		c.closeWhenIdle(closesWhenIdle)
+	defer c.mu.Unlock()
+	if c.closed || c.busy || c.session != nil && c.session.State() != flow.Idle {
+		return
 	}
+	c.shedding = true
+	c.wake()
 }
--- a/internal/traffic/front/cut.go
+++ b/internal/traffic/front/cut.go
@@ -14,7 +14,7 @@
 func (c *caller) logCut(now time.Time) {
 	unsent, unhandled := c.conn.OutboundBuffered(), c.conn.InboundBuffered()
 	c.mu.Lock()
-	busy, running, startedAt := c.busy, c.running, c.startedAt
+	busy, running, startedAt := c.busy && !c.abandoned, c.running, c.startedAt
 	c.mu.Unlock()
 	if !busy && unsent == 0 && unhandled == 0 {
 		return
@@ -24,15 +24,8 @@
 	if busy {
 		fields["took"] = now.Sub(startedAt).String()
 	}
-	if started := c.srv.drainStart(); !started.IsZero() {
-		fields["draining"] = now.Sub(started).String()
+	if schedule := c.srv.drainSchedule(); schedule.Active() {
+		fields["draining"] = now.Sub(schedule.Started).String()
 	}
 	c.srv.Log.WithFields(fields).Warn(sess.EventCut)
 }
-
-// drainStart returns when the drain began, or the zero time.
-func (s *Server) drainStart() time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.drainStarted
-}
--- a/internal/traffic/front/front.go
+++ b/internal/traffic/front/front.go
@@ -6,12 +6,14 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
 
 	"github.com/agatespindle/agatespindle/internal/base/logs"
 	"github.com/agatespindle/agatespindle/internal/base/meter"
+	"github.com/agatespindle/agatespindle/internal/traffic/drain"
 	"github.com/agatespindle/agatespindle/internal/traffic/flow"
 	"github.com/agatespindle/agatespindle/internal/traffic/sess"
 )
@@ -73,10 +75,19 @@
 	// MessageTimeout is how long a message may take to arrive completely, and how long a new connection
 	// may take to send its startup message.
 	MessageTimeout time.Duration
-	// UnreadBytes is how many bytes of answers may be buffered for a caller that does not read.
+	// UnreadBytes is how many bytes of answers may be buffered before the caller's next message is
+	// handled. A caller that sends one and reads nothing for MessageTimeout is disconnected.
 	UnreadBytes int
 }
 
+// unsentTimeout returns how long a caller may read nothing of answers that hold up the connection.
+func (l Limits) unsentTimeout() time.Duration {
+	if l.MessageTimeout == 0 {
+		return DefaultMessageTimeout
+	}
+	return l.MessageTimeout
+}
+
 // Server accepts caller connections. The exported fields are set before Run.
 type Server struct {
 	gnet.BuiltinEventEngine
@@ -111,9 +122,9 @@
 	callers map[*caller]struct{}
 	// drained is set once no connection is left during a drain; new ones are refused from then on.
 	drained bool
-	// drainStarted is when the drain began; zero if the host does not drain.
-	drainStarted time.Time
-	wg           sync.WaitGroup
+	// schedule is nil if the host does not drain.
+	schedule atomic.Pointer[drain.Schedule]
+	wg       sync.WaitGroup
 }
 
 var _ gnet.EventHandler = (*Server)(nil)
@@ -252,29 +263,30 @@
 	return s.drained
 }
 
-// Drain closes connections: idle ones after DrainDelay, those with a transaction when it ends or
-// after TransactionLimit, and those with a running statement when its answer has been sent. From
-// DrainDelay on, no connection takes another request after an answer. It returns when none is left or
-// ctx is done.
+// drainSchedule returns the schedule of the drain; the zero value if the host does not drain.
+func (s *Server) drainSchedule() drain.Schedule {
+	if p := s.schedule.Load(); p != nil {
+		return *p
+	}
+	return drain.Schedule{}
+}
+
+// Drain closes connections by the rules of package drain: idle ones after DrainDelay, those with a
+// transaction when it ends or after TransactionLimit, and those with a running statement after its
+// answer. Statements that still run shortly before ctx ends are answered as possibly run. It returns
+// when no connection is left or ctx is done.
 func (s *Server) Drain(ctx context.Context) {
 	started := s.Now()
-	s.mu.Lock()
-	s.drainStarted = started
-	s.mu.Unlock()
+	schedule := drain.New(started, s.DrainDelay, s.TransactionLimit, deadlineOf(ctx, started))
+	s.schedule.Store(&schedule)
 	s.Log.WithField("sessions", len(s.listCallers())).Info("draining caller connections")
 	for ctx.Err() == nil {
 		now := s.Now()
-		if now.Sub(started) >= s.DrainDelay {
+		if schedule.ClosesIdle(now) {
 			if s.stopAdmittingIfEmpty() {
 				return
 			}
-			how := closesWhenIdle
-			if now.Sub(started) >= s.TransactionLimit {
-				how = closesAfterAnswer
-			}
-			for _, cl := range s.listCallers() {
-				cl.closeWhenIdle(how)
-			}
+			s.closeCallers(schedule.Overdue(now))
 		}
 		select {
 		case <-ctx.Done():
@@ -282,3 +294,23 @@
 		}
 	}
 }
+
+// closeCallers has idle connections closed, and answers the statements that still run if overdue is set.
+func (s *Server) closeCallers(overdue bool) {
+	for _, cl := range s.listCallers() {
+		if overdue {
+			cl.abandon()
+		}
+		cl.closeWhenIdle()
+	}
+}
+
+// deadlineOf returns the deadline of ctx on the clock of now, which may not be the wall clock; the zero time
+// if ctx has none.
+func deadlineOf(ctx context.Context, now time.Time) time.Time {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return time.Time{}
+	}
+	return now.Add(time.Until(deadline))
+}
--- a/internal/traffic/sess/sess.go
+++ b/internal/traffic/sess/sess.go
@@ -190,6 +190,42 @@
 	return req, flow.Reads, nil
 }
 
+// Timeout returns the time limit of the session's next statement.
+func (s *Session) Timeout() time.Duration {
+	if s.tx != nil {
+		return s.tx.db.StatementTimeout
+	}
+	return s.mgr.Topology.Snapshot().Databases[s.database].StatementTimeout
+}
+
+// Refuse returns the answer to a statement that is not started, because the host shuts down. An open
+// transaction is rolled back.
+func (s *Session) Refuse(st flow.Statement) flow.Answer {
+	if s.state != flow.Idle {
+		s.discardTransaction()
+		s.state = flow.InFailedTransaction
+		if st.Kind == flow.Commit || st.Kind == flow.Rollback {
+			s.state = flow.Idle
+		}
+	}
+	return flow.ErrorAnswer(flow.Busy, s.state, "host is shutting down")
+}
+
+// AnswerIfAbandoned returns the answer to a statement, passed to Run later, if that does not end in time:
+// what is certain of a statement that may have been sent.
+func (s *Session) AnswerIfAbandoned(st flow.Statement) flow.Answer {
+	_, effect, _ := s.buildRequest(st)
+	state := flow.Idle
+	if s.tx != nil {
+		commit := st.Kind == flow.Commit
+		effect = effectInTransaction(s.tx, commit, effect)
+		if !commit {
+			state = flow.InFailedTransaction
+		}
+	}
+	return flow.ErrorAnswer(flow.VerdictFor(flow.Sent, effect, flow.OK).Code, state, "host is shutting down")
+}
+
 // ExpireTransaction rolls back a transaction that has exceeded its idle timeout. The next statement
 // fails and tells the caller.
 func (s *Session) ExpireTransaction(now time.Time) {
