drain: Let open transactions go on until their own limit

Statements of an open transaction were refused once their timeout reached past the limit for answers, from 2.6 s after the SIGTERM on with a timeout of 4 s, although a transaction has until 3.6 s. The test of late statements expected such a refusal; it expects the answer at the limit now.

--- a/internal/traffic/drain/drain.go
+++ b/internal/traffic/drain/drain.go
@@ -58,9 +58,13 @@
 func (s Schedule) ClosesIdle(now time.Time) bool { return s.Active() && !now.Before(s.Idle) }
 
 // StartsRequest reports whether a request with a timeout is started. While callers still arrive, every
-// request is; after that, only one that ends in time even if it takes its whole timeout.
-func (s Schedule) StartsRequest(now time.Time, timeout time.Duration) bool {
-	return !s.ClosesIdle(now) || s.Answers.IsZero() || !now.Add(timeout).After(s.Answers)
+// request is, and so is every request of an open transaction while that may go on; after that, only one
+// that ends in time even if it takes its whole timeout.
+func (s Schedule) StartsRequest(now time.Time, timeout time.Duration, inTransaction bool) bool {
+	if !s.ClosesIdle(now) || s.Answers.IsZero() || inTransaction && now.Before(s.Transactions) {
+		return true
+	}
+	return !now.Add(timeout).After(s.Answers)
 }
 
 // StartsTransaction reports whether a transaction is opened. Later ones would not get the time that open
--- a/internal/traffic/front/caller.go
+++ b/internal/traffic/front/caller.go
@@ -240,7 +240,7 @@
 	case flow.Begin, flow.BeginRead:
 		return !schedule.StartsTransaction(now)
 	case flow.Read, flow.Write, flow.Exec, flow.Commit:
-		return !schedule.StartsRequest(now, c.session.Timeout())
+		return !schedule.StartsRequest(now, c.session.Timeout(), c.session.State() != flow.Idle)
 	}
 	return false
 }
@@ -282,7 +282,7 @@
 	if !ok {
 		return c.refuseStartup(now, "nodatabase", flow.ErrorAnswer(flow.NoDatabase, flow.Idle, startup.Database))
 	}
-	if !c.srv.drainSchedule().StartsRequest(now, session.Timeout()) {
+	if !c.srv.drainSchedule().StartsRequest(now, session.Timeout(), false) {
 		return c.refuseStartup(now, "draining", flow.ErrorAnswer(flow.Busy, flow.Idle, "host is shutting down"))
 	}
 	c.session = session
