httpd: Answer HTTP requests in progress before a server stops

Cause: platform.Serve closed its server, with all connections, as soon as its context ended. The operators' API shut down in order, but reported its end when http.Server.Serve returned, which is at the start of a shutdown, so that the process could end before.

--- a/internal/control/rest/rest.go
+++ b/internal/control/rest/rest.go
@@ -8,7 +8,6 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
 	"net"
 	"net/http"
 	"strings"
@@ -16,17 +15,17 @@
 
 	"github.com/agatespindle/agatespindle/internal/backend/adapt"
 	"github.com/agatespindle/agatespindle/internal/base/fault"
+	"github.com/agatespindle/agatespindle/internal/base/httpd"
 	"github.com/agatespindle/agatespindle/internal/base/logs"
 	"github.com/agatespindle/agatespindle/internal/base/meter"
 	"github.com/agatespindle/agatespindle/internal/control/agent"
 )
 
 const (
-	maxBodyBytes      = 1 << 20 // of a request
-	readHeaderTimeout = 5 * time.Second
-	requestTimeout    = 8 * time.Second // of a call to the leader
-	shutdownTimeout   = time.Second
-	apiPrefix         = "/v1/"
+	maxBodyBytes    = 1 << 20         // of a request
+	requestTimeout  = 8 * time.Second // of a call to the leader
+	shutdownTimeout = time.Second     // for requests in progress when the server stops
+	apiPrefix       = "/v1/"
 )
 
 // Server serves the API on one host. Any host can serve any request. Set the exported
@@ -51,23 +50,7 @@
 // serving ended, or nil after a shutdown.
 func (s *Server) Run(ctx context.Context) <-chan error {
 	s.ctx = ctx
-	srv := &http.Server{Handler: s.handler(), ReadHeaderTimeout: readHeaderTimeout}
-	done := make(chan error, 1)
-	go func() {
-		err := srv.Serve(s.Listener)
-		if errors.Is(err, http.ErrServerClosed) {
-			err = nil
-		}
-		done <- err
-	}()
-	context.AfterFunc(ctx, func() {
-		shutdownCtx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-		defer cancel()
-		if srv.Shutdown(shutdownCtx) != nil {
-			srv.Close()
-		}
-	})
-	return done
+	return httpd.Serve(ctx, s.Listener, s.handler(), shutdownTimeout)
 }
 
 func (s *Server) handler() http.Handler {
