--- a/internal/traffic/front/front_test.go
+++ b/internal/traffic/front/front_test.go
@@ -208,8 +208,12 @@
 	})
 }
 
-// addPrimary declares the instance at addr as the primary of the database's group.
-func addPrimary(topology *topo.Topology, addr string) {
+// addPrimary declares the instance at addr as the primary of the database's group, with two slots.
+func addPrimary(topology *topo.Topology, addr string) { addPrimaryWithSlots(topology, addr, 2) }
+
+// addPrimaryWithSlots declares the instance at addr, which runs that many statements concurrently, as
+// the primary of the database's group.
+func addPrimaryWithSlots(topology *topo.Topology, addr string, slots uint32) {
 	topology.NewPool = func(group, instance, addr string, local bool, slots int) *pool.Pool {
 		dial := func(ctx context.Context, addr string) (net.Conn, error) {
 			return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
@@ -220,13 +224,13 @@
 		}
 	}
 	m := spec.Manifest{
-		Number: 1, Groups: []spec.ManifestGroup{{Name: "g", MaxConnections: 8}},
+		Number: 1, Groups: []spec.ManifestGroup{{Name: "g", MaxConnections: max(8, int(slots))}},
 		Databases: []spec.Database{{Name: "stock", Group: "g", Consistency: spec.StrongConsistency, StatementTimeout: 5 * time.Second, TargetLatency: 5 * time.Second}},
 	}
 	topology.Agent.OnView(agent.NewView(2, []*wire.Resource{
 		{Kind: string(spec.Manifests), Name: spec.CurrentManifest, Version: 2, Revision: 2, Spec: m.Encode()},
 		{Kind: string(spec.Groups), Name: "g", Revision: 2, Group: &wire.GroupState{Term: 1, Phase: wire.Phase_OPEN, Primary: "i", Reign: 1}},
-		{Kind: string(spec.Backends), Name: "i", Revision: 2, Backend: &wire.BackendState{Group: "g", Addr: addr, Slots: 2}},
+		{Kind: string(spec.Backends), Name: "i", Revision: 2, Backend: &wire.BackendState{Group: "g", Addr: addr, Slots: slots}},
 	}))
 }
 
