--- a/internal/traffic/front/cut_test.go
+++ b/internal/traffic/front/cut_test.go
@@ -286,3 +286,57 @@
 		So(collect(results, callers), ShouldBeNil)
 	})
 }
+
+// TestDrainCutsNoTransactions covers transactions that are open when a drain begins.
+func TestDrainCutsNoTransactions(t *testing.T) {
+	Convey("Given transactions that are open when the drain begins", t, func() {
+		const statement = 300 * time.Millisecond
+		h := startCutHost(t, statement, nil)
+		defer h.stop()
+		// Each transaction sends a statement at each of these times after the start of the drain.
+		cases := map[string]struct {
+			times []time.Duration
+			last  string
+		}{
+			"paused":    {[]time.Duration{100 * time.Millisecond, cutTransactionLimit + 400*time.Millisecond}, "COMMIT"},
+			"statement": {[]time.Duration{cutTransactionLimit - statement/2, cutTransactionLimit + statement}, "WRITE a b"},
+			"commit":    {[]time.Duration{100 * time.Millisecond, cutTransactionLimit - statement/2}, "COMMIT"},
+			"late":      {[]time.Duration{cutTransactionLimit - 20*time.Millisecond, cutDrainLimit - statement/2}, "COMMIT"},
+			"end":       {[]time.Duration{100 * time.Millisecond, cutDrainLimit - statement/2}, "COMMIT"},
+		}
+		results := make(chan error, len(cases))
+		var opened sync.WaitGroup
+		start := make(chan struct{})
+		for name, tc := range cases {
+			c := h.open(name)
+			opened.Add(1)
+			go func() {
+				results <- func() error {
+					defer c.Close()
+					err := errors.Join(c.query("BEGIN"), c.query("WRITE a b"))
+					opened.Done()
+					if err != nil {
+						return err
+					}
+					<-start
+					started := time.Now()
+					for i, at := range tc.times {
+						time.Sleep(time.Until(started.Add(at)))
+						text := "WRITE a b"
+						if i == len(tc.times)-1 {
+							text = tc.last
+						}
+						if err := c.query(text); err != nil {
+							return c.cut(err)
+						}
+					}
+					return nil
+				}()
+			}()
+		}
+		opened.Wait()
+		close(start)
+		h.stopAfterDrain()
+		So(collect(results, len(cases)), ShouldBeNil)
+	})
+}
