front: Test a transaction that is sent ahead at the limit of a drain

A transaction whose statements have all been sent goes on after the limit for transactions until the limit of the drain, which cuts it: 4 statements without an answer, one of them at the instance.

--- a/internal/traffic/front/cut_test.go
+++ b/internal/traffic/front/cut_test.go
@@ -340,3 +340,31 @@
 		So(collect(results, len(cases)), ShouldBeNil)
 	})
 }
+
+// TestDrainCutsNoTransactionsSentAhead guards against transactions that are sent ahead, go on after their
+// limit, and are cut at the limit of the drain.
+func TestDrainCutsNoTransactionsSentAhead(t *testing.T) {
+	Convey("Given a caller that has sent a long transaction ahead when the drain begins", t, func() {
+		h := startCutHost(t, 300*time.Millisecond, nil)
+		defer h.stop()
+		c := h.open("tx")
+		defer c.Close()
+		So(c.send("BEGIN"), ShouldBeNil)
+		for range 8 {
+			So(c.send("WRITE a b"), ShouldBeNil)
+		}
+		So(c.send("COMMIT"), ShouldBeNil)
+		result := make(chan error, 1)
+		go func() {
+			for len(c.pending) > 0 {
+				if err := c.await(); err != nil {
+					result <- c.cut(err)
+					return
+				}
+			}
+			result <- nil
+		}()
+		h.stopAfterDrain()
+		So(<-result, ShouldBeNil)
+	})
+}
