--- a/internal/traffic/front/cut_test.go
+++ b/internal/traffic/front/cut_test.go
@@ -368,3 +368,30 @@
 		So(<-result, ShouldBeNil)
 	})
 }
+
+// TestDrainAnswersHeldStartups covers callers that connect to a host which knows no databases yet and is
+// stopped.
+func TestDrainAnswersHeldStartups(t *testing.T) {
+	Convey("Given a host that does not know the declared databases, and drains", t, func() {
+		h := startCutHost(t, 50*time.Millisecond, nil, func(s *front.Server) {
+			s.DatabasesKnown = make(chan struct{})
+			s.CanOpenSession = func(time.Time) bool { return false }
+		})
+		defer h.stop()
+		stopped := make(chan struct{})
+		started := time.Now()
+		go func() {
+			defer close(stopped)
+			h.stopAfterDrain()
+		}()
+		results := make(chan error, 64)
+		callers := 0
+		for at := time.Duration(0); at < cutDrainLimit; at += 60 * time.Millisecond {
+			time.Sleep(time.Until(started.Add(at)))
+			go func() { results <- h.connectAndQuery(fmt.Sprint("held", at), "WRITE a b") }()
+			callers++
+		}
+		<-stopped
+		So(collect(results, callers), ShouldBeNil)
+	})
+}
