front: Test an answer over the limit for unread answers with a statement sent ahead

When an answer is done and the next statement has already arrived, the limit for unread answers closes the connection at once, and with it drops what is left of the answer. The caller saw EOF in the middle of it, without any shutdown.

--- a/internal/traffic/front/cut_test.go
+++ b/internal/traffic/front/cut_test.go
@@ -395,3 +395,50 @@
 		So(collect(results, callers), ShouldBeNil)
 	})
 }
+
+// connectWithSmallBuffer opens a session whose socket takes few bytes that are not read.
+func (h cutHost) connectWithSmallBuffer(name string) *cutCaller {
+	d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		_ = raw.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 16<<10) })
+		return err
+	}}
+	conn, err := d.Dial("tcp", h.Addr)
+	So(err, ShouldBeNil)
+	_ = conn.SetDeadline(time.Now().Add(15 * time.Second))
+	c := &cutCaller{Conn: conn, r: bufio.NewReader(conn), host: h, name: name}
+	fmt.Fprint(c, "STARTUP stock u\r\n")
+	_, err = readAnswer(c.r)
+	So(err, ShouldBeNil)
+	return c
+}
+
+// largeRows returns rows of that many MiB in all.
+func largeRows(n int) []string {
+	row := strings.Repeat("x", 512<<10)
+	rows := make([]string, 2*n)
+	for i := range rows {
+		rows[i] = row
+	}
+	return rows
+}
+
+// TestUnreadLimitCutsNoAnswer guards against an answer that is cut because its caller sends the next
+// statement before it has read the answer.
+func TestUnreadLimitCutsNoAnswer(t *testing.T) {
+	Convey("Given a caller that sends ahead and slowly reads an answer over the limit for unread answers", t, func() {
+		rows := largeRows(12)
+		h := startCutHost(t, 50*time.Millisecond, rows, func(s *front.Server) { s.Limits.UnreadBytes = 1 << 20 })
+		defer h.stop()
+		c := h.connectWithSmallBuffer("slow")
+		defer c.Close()
+		So(c.send("WRITE a b"), ShouldBeNil)
+		So(c.send("WRITE a b"), ShouldBeNil)
+		time.Sleep(500 * time.Millisecond)
+		for range 2 {
+			n, err := readAnswer(c.r)
+			So(err, ShouldBeNil)
+			So(n, ShouldBeGreaterThan, len(rows)*len(rows[0]))
+		}
+	})
+}
