front: Test the timeout of a partial message while an answer is being read

The timeout of a partial message closes the connection although the caller is still reading a large answer. The caller saw EOF in the middle of it, without any shutdown.

--- a/internal/traffic/front/cut_test.go
+++ b/internal/traffic/front/cut_test.go
@@ -442,3 +442,21 @@
 		}
 	})
 }
+
+// TestMessageTimeoutCutsNoAnswer guards against an answer that is cut because a part of the caller's next
+// message has arrived long before the caller has read the answer.
+func TestMessageTimeoutCutsNoAnswer(t *testing.T) {
+	Convey("Given a caller that slowly reads a large answer and has sent a part of its next message", t, func() {
+		rows := largeRows(12)
+		h := startCutHost(t, 50*time.Millisecond, rows, func(s *front.Server) { s.Limits.MessageTimeout = 300 * time.Millisecond })
+		defer h.stop()
+		c := h.connectWithSmallBuffer("slow")
+		defer c.Close()
+		So(c.send("WRITE a b"), ShouldBeNil)
+		fmt.Fprint(c, "QUERY 2 WRI")
+		time.Sleep(900 * time.Millisecond)
+		n, err := readAnswer(c.r)
+		So(err, ShouldBeNil)
+		So(n, ShouldBeGreaterThan, len(rows)*len(rows[0]))
+	})
+}
