front: Test a close while the kernel still sends an answer

A drain closes a connection once the kernel has taken the whole answer. If the caller sends its next statement before it has read the answer, the kernel resets the connection and drops the rest: the caller saw "connection reset by peer" in the middle of an answer of 1 MiB.

--- a/internal/traffic/front/cut_test.go
+++ b/internal/traffic/front/cut_test.go
@@ -460,3 +460,30 @@
 		So(n, ShouldBeGreaterThan, len(rows)*len(rows[0]))
 	})
 }
+
+// TestCloseCutsNoAnswerInTheKernel guards against an answer of which the kernel drops what it has not sent
+// yet: it resets a closed connection when the caller's next statement arrives.
+func TestCloseCutsNoAnswerInTheKernel(t *testing.T) {
+	Convey("Given a caller that has not read an answer which the kernel has taken as a whole", t, func() {
+		rows := largeRows(1)
+		h := startCutHost(t, 50*time.Millisecond, rows)
+		defer h.stop()
+		c := h.connectWithSmallBuffer("slow")
+		defer c.Close()
+		So(c.send("WRITE a b"), ShouldBeNil)
+		time.Sleep(200 * time.Millisecond)
+		drained := make(chan struct{})
+		go func() {
+			defer close(drained)
+			h.stopAfterDrain()
+		}()
+		Convey("It gets the whole answer although it sends its next statement during the drain", func() {
+			time.Sleep(cutDrainDelay + 200*time.Millisecond)
+			So(c.send("WRITE a b"), ShouldBeNil)
+			n, err := readAnswer(c.r)
+			So(err, ShouldBeNil)
+			So(n, ShouldBeGreaterThan, len(rows)*len(rows[0]))
+		})
+		Reset(func() { <-drained })
+	})
+}
