lend: End lent connections in use only once they are answered

What callers saw: while a control host stopped, a write on a connection that it lent got "in doubt" although it had run and was within its time limit, and the commit of an open transaction got "in doubt" (ERR INDOUBT).

Cause, three faults in the lender's part of a shutdown: - Its drain ended after 1.5 s, whatever the limit of what was running. - A connection counted as returned before its answer was sent, so that the drain could end, and the link close, while the answer was being written. - On an entry host new uses were refused only once the host's own callers were gone, which may take the whole drain; what was lent until then was broken off.

Why it works: the lender follows the drain schedule that the entry hosts follow. From the start of the shutdown a new use is refused as not sent, so that the borrower asks the next lender. A request counts as running from its arrival until its answer is written, under the same lock as the refusals, and the drain waits for it; its own time limit bounds the wait. Open transactions go on until the limit that all transactions have.

New in the logs: "answer on a lent connection was not sent" with borrower, instance, request and reason, counted as errands.cut.borrower and errands.cut.drained; errands.refused.draining, errands.ended.transaction.

--- a/internal/tools/node/node.go
+++ b/internal/tools/node/node.go
@@ -180,10 +180,11 @@
 	return n.links.Run(ctx), nil
 }
 
-// beginDrain is the first step of a shutdown: it fails the load balancer's readiness check and
-// tells the hosts that borrow this host's connections.
-func (n *Node) beginDrain(context.Context) {
+// beginDrain is the first step of a shutdown: it fails the load balancer's readiness check, stops
+// lending connections and tells the hosts that borrow them.
+func (n *Node) beginDrain(ctx context.Context) {
 	n.draining.Store(true)
+	n.traffic.stopLending(ctx)
 	n.Agent.Drain()
 	n.Log.Info("shutdown requested; draining")
 }
--- a/internal/tools/node/traffic.go
+++ b/internal/tools/node/traffic.go
@@ -11,6 +11,7 @@
 	"github.com/agatespindle/agatespindle/internal/base/kernel"
 	"github.com/agatespindle/agatespindle/internal/control/agent"
 	"github.com/agatespindle/agatespindle/internal/control/spec"
+	"github.com/agatespindle/agatespindle/internal/traffic/drain"
 	"github.com/agatespindle/agatespindle/internal/traffic/front"
 	"github.com/agatespindle/agatespindle/internal/traffic/lend"
 	"github.com/agatespindle/agatespindle/internal/traffic/pool"
@@ -48,7 +49,7 @@
 		LeaveBound: n.cfg.LeaveBound(), Log: n.Log, Meter: n.Meter, Now: clock.Monotonic,
 	}
 	t.topology.Prepare()
-	t.lender = &lend.Lender{Topology: t.topology, Meter: n.Meter}
+	t.lender = &lend.Lender{Topology: t.topology, Log: n.Log, Meter: n.Meter, Now: clock.Monotonic}
 	n.links.Handlers[lend.Service] = t.lender.Serve
 	n.links.Handlers[agent.RelayService] = n.Agent.Relay
 	n.traffic = t
@@ -63,10 +64,15 @@
 		Addr: n.cfg.Listen.Callers, Codec: platform.CallerCodec(), Sessions: manager, Log: n.Log, Meter: n.Meter, Now: clock.Monotonic,
 		CanOpenSession: func(time.Time) bool { return t.topology.Snapshot().ManifestNumber > 0 }, DatabasesKnown: t.topology.ManifestLoaded(), ShedCallers: t.topology.LeaseLapsed, DrainDelay: balancerDetectionTime,
 		Limits:           front.Limits{Callers: n.cfg.MaxCallers(), MessageTimeout: front.DefaultMessageTimeout, UnreadBytes: front.DefaultUnreadBytes},
-		TransactionLimit: time.Duration(transactionDrainShare * float64(n.cfg.GracePeriod())),
+		TransactionLimit: n.transactionLimit(),
 	}
 }
 
+// transactionLimit returns how long transactions may go on after the start of a shutdown.
+func (n *Node) transactionLimit() time.Duration {
+	return time.Duration(transactionDrainShare * float64(n.cfg.GracePeriod()))
+}
+
 // relayAddrs returns the link addresses of the other entry hosts, which relay lease renewals while
 // this host cannot reach a control host.
 func (n *Node) relayAddrs() []string {
@@ -97,7 +103,7 @@
 
 // services returns the services of this part, in start order.
 func (t *traffic) services() []kernel.Service {
-	list := []kernel.Service{{Name: ServiceTopology, Value: t.topology, Start: startFunc(t.topology.Run), Drain: t.lender.Drain}}
+	list := []kernel.Service{{Name: ServiceTopology, Value: t.topology, Start: startFunc(t.topology.Run), Drain: t.drainLender}}
 	if t.front == nil {
 		return list
 	}
@@ -107,6 +113,28 @@
 	}...)
 }
 
+// stopLending makes the lender refuse new uses. Lent connections have until ctx ends, less the time to
+// take this host off control's list.
+func (t *traffic) stopLending(ctx context.Context) {
+	now := clock.Monotonic()
+	var end time.Time
+	if deadline, ok := ctx.Deadline(); ok {
+		end = now.Add(time.Until(deadline) - leaveTimeout)
+	}
+	t.lender.StopLending(drain.New(now, 0, t.n.transactionLimit(), end))
+}
+
+// drainLender waits until nothing runs on lent connections.
+func (t *traffic) drainLender(ctx context.Context) {
+	t.stopLending(ctx)
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-leaveTimeout))
+		defer cancel()
+	}
+	t.lender.Drain(ctx)
+}
+
 // serveReady serves the load balancer's readiness check, which fails from the start of a drain.
 func (t *traffic) serveReady(ctx context.Context) (<-chan error, error) {
 	return platform.Serve(ctx, t.n.cfg.Listen.Ready, platform.Readiness(func() bool {
--- a/internal/traffic/lend/leaving_test.go
+++ b/internal/traffic/lend/leaving_test.go
@@ -12,6 +12,7 @@
 	"github.com/agatespindle/agatespindle/internal/base/clock"
 	"github.com/agatespindle/agatespindle/internal/base/conf"
 	"github.com/agatespindle/agatespindle/internal/base/link"
+	"github.com/agatespindle/agatespindle/internal/base/logs"
 	"github.com/agatespindle/agatespindle/internal/base/meter"
 	"github.com/agatespindle/agatespindle/internal/base/wire"
 	"github.com/agatespindle/agatespindle/internal/control/agent"
@@ -38,7 +39,7 @@
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
 		ctx, cancel := context.WithCancel(t.Context())
-		served := (&link.Server{Listener: ln, Handlers: map[string]link.Handler{lend.Service: (&lend.Lender{Topology: topology, Meter: meter.New()}).Serve}}).Run(ctx)
+		served := (&link.Server{Listener: ln, Handlers: map[string]link.Handler{lend.Service: (&lend.Lender{Topology: topology, Log: logs.Discard(), Meter: meter.New(), Now: clock.Monotonic}).Serve}}).Run(ctx)
 		dialer := &link.Dialer{Host: "e"}
 		Reset(func() {
 			dialer.Close()
--- a/internal/traffic/lend/lend.go
+++ b/internal/traffic/lend/lend.go
@@ -7,14 +7,15 @@
 	"context"
 	"errors"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/agatespindle/agatespindle/internal/base/clock"
 	"github.com/agatespindle/agatespindle/internal/base/fault"
 	"github.com/agatespindle/agatespindle/internal/base/link"
+	"github.com/agatespindle/agatespindle/internal/base/logs"
 	"github.com/agatespindle/agatespindle/internal/base/meter"
 	"github.com/agatespindle/agatespindle/internal/base/wire"
+	"github.com/agatespindle/agatespindle/internal/traffic/drain"
 	"github.com/agatespindle/agatespindle/internal/traffic/flow"
 	"github.com/agatespindle/agatespindle/internal/traffic/pool"
 	"github.com/agatespindle/agatespindle/internal/traffic/token"
@@ -39,8 +40,6 @@
 	// pingTimeout how long the ping may take; a round trip takes a few milliseconds.
 	pingAfter   = 80 * time.Millisecond
 	pingTimeout = 200 * time.Millisecond
-	// drainTimeout limits the wait for lent connections at shutdown.
-	drainTimeout = 1500 * time.Millisecond
 	// drainPollInterval is the interval at which a drain checks for lent connections.
 	drainPollInterval = 20 * time.Millisecond
 )
@@ -49,48 +48,142 @@
 // the first call of Serve.
 type Lender struct {
 	Topology *topo.Topology
+	Log      *logs.Logger
 	Meter    *meter.Meter
+	// Now returns the current time; tests replace it.
+	Now func() time.Time
+
+	mu sync.Mutex
+	// running are the streams with a request that has arrived and whose answer is not sent yet.
+	running map[*lentStream]struct{}
+	// held is the number of connections that are lent at present.
+	held     int
+	schedule drain.Schedule
+}
 
-	// inUse is the number of connections that are lent at present.
-	inUse    atomic.Int64
-	draining atomic.Bool
+// lentStream is the lender's side of a stream. It lends at most one connection at a time.
+type lentStream struct {
+	lender *Lender
+	conn   *link.Conn
+	// host is the host that borrows.
+	host string
+	// handle is the lent connection to instance, or nil.
+	handle   pool.Handle
+	instance string
+	// request is the ID of the last request.
+	request string
 }
 
-// Serve serves the requests of one stream until ctx or the stream ends. It lends at most one
-// connection at a time. It is a link.Handler.
-func (l *Lender) Serve(ctx context.Context, _ string, c *link.Conn) {
-	var handle pool.Handle
-	defer func() {
-		if handle != nil {
-			l.inUse.Add(-1)
-			pool.Rollback(handle)
-		}
-	}()
+// Serve serves the requests of one stream until ctx or the stream ends. It is a link.Handler.
+func (l *Lender) Serve(ctx context.Context, from string, c *link.Conn) {
+	s := &lentStream{lender: l, conn: c, host: from}
+	defer s.rollback()
 	for ctx.Err() == nil {
 		req := &wire.LendRequest{}
-		if c.Recv(req) != nil {
+		if c.Recv(req) != nil || !s.serve(ctx, req) {
 			return
 		}
-		reply := &wire.LendReply{}
-		if handle == nil {
-			var err error
-			if handle, err = l.open(ctx, req); err != nil {
-				reply.Error = err.Error()
-			}
-		}
-		if handle != nil && l.run(handle, req, reply) {
-			handle = nil
-		}
-		if c.Send(reply) != nil {
-			return
+	}
+}
+
+// serve answers one request. It returns false if the answer could not be sent.
+func (s *lentStream) serve(ctx context.Context, req *wire.LendRequest) bool {
+	s.request = req.Question.GetId()
+	if req.Instance != "" {
+		s.instance = req.Instance
+	}
+	s.lender.begin(s)
+	defer s.lender.finish(s)
+	if err := s.conn.Send(s.answer(ctx, req)); err != nil {
+		s.logCut("borrower", err)
+		return false
+	}
+	return true
+}
+
+// answer runs a request, on a connection that it acquires unless one is lent already, and returns the
+// reply.
+func (s *lentStream) answer(ctx context.Context, req *wire.LendRequest) *wire.LendReply {
+	l := s.lender
+	reply := &wire.LendReply{}
+	if err := l.refusal(l.Now(), s); err != nil {
+		s.rollback()
+		reply.Error = err.Error()
+		return reply
+	}
+	if s.handle == nil {
+		handle, err := l.open(ctx, req)
+		if err != nil {
+			reply.Error = err.Error()
+			return reply
 		}
+		s.setHandle(handle)
+	}
+	if s.run(req, reply) {
+		s.setHandle(nil)
 	}
+	return reply
 }
 
-// open acquires a handle to the requested instance from this host's own pool and counts it as lent.
+// setHandle sets the lent connection and counts it.
+func (s *lentStream) setHandle(handle pool.Handle) {
+	s.lender.mu.Lock()
+	defer s.lender.mu.Unlock()
+	if s.handle != nil {
+		s.lender.held--
+	}
+	if s.handle = handle; handle != nil {
+		s.lender.held++
+	}
+}
+
+// rollback ends the lending of a connection with an open transaction, if there is one.
+func (s *lentStream) rollback() {
+	if handle := s.handle; handle != nil {
+		s.setHandle(nil)
+		pool.Rollback(handle)
+	}
+}
+
+// logCut logs and counts a request whose answer does not reach the borrower.
+func (s *lentStream) logCut(reason string, err error) {
+	s.lender.Meter.AddCounter("errands.cut."+reason, 1)
+	s.lender.Log.WithError(err).WithField("reason", reason).WithField("borrower", s.host).WithField("instance", s.instance).WithField("id", s.request).
+		Warn("answer on a lent connection was not sent")
+}
+
+// begin counts a request as running.
+func (l *Lender) begin(s *lentStream) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.running == nil {
+		l.running = map[*lentStream]struct{}{}
+	}
+	l.running[s] = struct{}{}
+}
+
+// finish ends a request that begin has counted.
+func (l *Lender) finish(s *lentStream) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.running, s)
+}
+
+// refusal returns the error with which a request is refused because this host shuts down, or nil.
+func (l *Lender) refusal(now time.Time, s *lentStream) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s.handle == nil && l.schedule.StartsTransaction(now) || s.handle != nil && !l.schedule.Closes(now, lentIdle) {
+		return nil
+	}
+	l.Meter.AddCounter("errands.refused.draining", 1)
+	return fault.New(fault.NotRun, fault.NoBackend, "this host shuts down and does not lend connections to instance %s", s.instance)
+}
+
+// open acquires a handle to the requested instance from this host's own pool.
 func (l *Lender) open(ctx context.Context, req *wire.LendRequest) (pool.Handle, error) {
 	m := l.findMember(ctx, req)
-	if m == nil || l.draining.Load() {
+	if m == nil {
 		return nil, fault.New(fault.NotRun, fault.NoBackend, "this host does not lend connections to instance %s", req.Instance)
 	}
 	handle, err := m.OpenOwn(ctx, time.Duration(req.Patience), pool.Priority{Rank: int(req.Rank), Database: req.Database})
@@ -98,7 +191,6 @@
 		return nil, err
 	}
 	l.Meter.AddCounter("errands.opened", 1)
-	l.inUse.Add(1)
 	return handle, nil
 }
 
@@ -116,14 +208,13 @@
 }
 
 // run runs a request and fills in the reply. It returns true if the connection is no longer lent.
-func (l *Lender) run(handle pool.Handle, req *wire.LendRequest, reply *wire.LendReply) bool {
+func (s *lentStream) run(req *wire.LendRequest, reply *wire.LendReply) bool {
 	start := time.Now()
-	a, stage, err := handle.Run(time.Duration(req.Limit), flow.ValuesOf(req.Values), requestFromWire(req.Question), req.Last)
+	a, stage, err := s.handle.Run(time.Duration(req.Limit), flow.ValuesOf(req.Values), requestFromWire(req.Question), req.Last)
 	reply.Took = int64(time.Since(start))
 	reply.Stage = uint32(stage)
 	if err != nil {
-		handle.Close()
-		l.inUse.Add(-1)
+		s.handle.Close()
 		reply.Error = err.Error()
 		return true
 	}
@@ -135,8 +226,7 @@
 	if !returnsConnection(req.Last, a) {
 		return false
 	}
-	handle.Release()
-	l.inUse.Add(-1)
+	s.handle.Release()
 	return true
 }
 
@@ -144,15 +234,44 @@
 // borrower must agree, so both use this function.
 func returnsConnection(last bool, a flow.Answer) bool { return last && a.State == flow.Idle }
 
-// Drain stops lending connections and waits up to drainTimeout until none is lent. A transaction
-// that takes longer is aborted, since a control host must hand over its leadership in time.
+// lentIdle is a lent connection between two requests of a transaction.
+var lentIdle = drain.Conn{Used: true, InTransaction: true}
+
+// StopLending starts a drain: from then on, requests for connections that are not lent yet are refused as
+// not run, so that borrowers ask other hosts at once, and those of open transactions once the
+// schedule ends them. Only the first call has an effect.
+func (l *Lender) StopLending(schedule drain.Schedule) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.schedule.Active() {
+		l.schedule = schedule
+	}
+}
+
+// Drain waits, after StopLending, until all running requests are answered, which their own time limits
+// bound, and the transactions have ended. It returns early if ctx ends.
 func (l *Lender) Drain(ctx context.Context) {
-	l.draining.Store(true)
-	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
-	defer cancel()
-	for ctx.Err() == nil && l.inUse.Load() > 0 {
+	for ctx.Err() == nil && !l.drained(l.Now()) {
 		clock.Sleep(ctx, drainPollInterval)
 	}
+	l.logUnfinished()
+}
+
+// drained reports whether no request is running and none will be accepted any more.
+func (l *Lender) drained(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.running) == 0 && (l.held == 0 || l.schedule.Closes(now, lentIdle))
+}
+
+// logUnfinished logs the requests and counts the transactions that the end of a drain breaks off.
+func (l *Lender) logUnfinished() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for s := range l.running {
+		s.logCut("drained", context.DeadlineExceeded)
+	}
+	l.Meter.AddCounter("errands.ended.transaction", int64(l.held))
 }
 
 func requestFromWire(q *wire.InstanceRequest) flow.Request {
--- a/internal/traffic/lend/lend_test.go
+++ b/internal/traffic/lend/lend_test.go
@@ -46,7 +46,7 @@
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
 		ctx, cancel := context.WithCancel(t.Context())
-		lender := &lend.Lender{Topology: topology, Meter: meter.New()}
+		lender := &lend.Lender{Topology: topology, Log: logs.Discard(), Meter: meter.New(), Now: clock.Monotonic}
 		served := (&link.Server{Listener: ln, Handlers: map[string]link.Handler{lend.Service: lender.Serve}}).Run(ctx)
 		dialer := &link.Dialer{Host: "e"}
 		ask := func(waitLimit time.Duration) string {
