node: Leave the quorum while the lender drains

A control host handed its lead over and left the quorum only after the drain of its lent connections. That drain may now take until the limit of open transactions, and the hand-over would come 3.6 s after the SIGTERM or have no time left.

Both don't depend on each other: lent connections need neither the lead nor a vote. The hand-over therefore starts with the shutdown and goes on beside the drain; the quorum's own drain waits for its end.

TestStoppingLeaderHandsOverWhileItLends failed without this: another host led 3.63 s after the SIGTERM instead of within 2 s.

--- a/internal/tools/node/control.go
+++ b/internal/tools/node/control.go
@@ -45,6 +45,8 @@
 	driver *driver.Driver
 	leader *leader.Leader
 	api    *platform.ControlAPI
+	// left is closed once this host has left the quorum; nil before the start of a shutdown.
+	left <-chan struct{}
 }
 
 // buildControl opens the store, restores or bootstraps the log, and registers the quorum and
@@ -84,7 +86,7 @@
 	n.links.Handlers[leader.CallService] = c.leader.ServeCall
 	n.control = c
 	n.Kernel.Register(
-		kernel.Service{Name: ServiceQuorum, Value: c.driver, Start: startFunc(c.driver.Run), Drain: c.leaveQuorum},
+		kernel.Service{Name: ServiceQuorum, Value: c.driver, Start: startFunc(c.driver.Run), Drain: c.awaitLeft},
 		kernel.Service{Name: "leader", Value: c.leader, Start: startFunc(c.leader.Run)},
 	)
 	return nil
@@ -137,6 +139,24 @@
 	}
 }
 
+// startLeaving leaves the quorum in the background. The returned channel is closed when that has ended.
+func (c *control) startLeaving(ctx context.Context) <-chan struct{} {
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		c.leaveQuorum(ctx)
+	}()
+	return left
+}
+
+// awaitLeft waits until this host has left the quorum, or ctx ends.
+func (c *control) awaitLeft(ctx context.Context) {
+	if c.left == nil {
+		c.left = c.startLeaving(ctx)
+	}
+	clock.Await(ctx, c.left)
+}
+
 // leaveQuorum hands leadership of the replicated log to another control host, if this host leads, and
 // tells the leader that this host stops.
 func (c *control) leaveQuorum(ctx context.Context) {
--- a/internal/tools/node/lending_integration_test.go
+++ b/internal/tools/node/lending_integration_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/agatespindle/agatespindle/internal/base/clock"
 	"github.com/agatespindle/agatespindle/internal/base/link"
+	"github.com/agatespindle/agatespindle/internal/control/driver"
+	"github.com/agatespindle/agatespindle/internal/tools/node"
 	"github.com/agatespindle/agatespindle/internal/traffic/flow"
 	"github.com/agatespindle/agatespindle/internal/traffic/lend"
 	"github.com/agatespindle/agatespindle/internal/traffic/pool"
@@ -96,3 +98,46 @@
 		So(<-stopped, ShouldBeNil)
 	})
 }
+
+// leadingHost returns the control host that leads, or "".
+func leadingHost(c *cluster) string {
+	for name, r := range c.running {
+		found, err := r.node.Kernel.Find(node.ServiceQuorum)
+		if err == nil && found.(*driver.Driver).Status().Leading {
+			return name
+		}
+	}
+	return ""
+}
+
+// TestStoppingLeaderHandsOverWhileItLends guards against a control leader that leads on until nothing runs
+// on its lent connections, and is then short of time to hand over.
+func TestStoppingLeaderHandsOverWhileItLends(t *testing.T) {
+	Convey("Given a transaction on a connection that the control leader lends", t, func() {
+		c := startCluster(t, 3, 2, false)
+		c.declareAndAwaitReady(2)
+		leading := leadingHost(c)
+		So(leading, ShouldNotBeEmpty)
+		dialer := &link.Dialer{Host: "edge-1"}
+		defer dialer.Close()
+		b := &lend.Borrower{Dialer: dialer, Now: clock.Monotonic}
+		var n int
+		_, err := fmt.Sscanf(leading, "core-%d", &n)
+		So(err, ShouldBeNil)
+		h, err := b.Open(c.ip(n)+":7440", "ledger", c.group.Primary(), pool.Priority{}, time.Second)
+		So(err, ShouldBeNil)
+		defer h.Release()
+		run := func(req flow.Request, last bool) flow.Code {
+			a, _, err := h.Run(time.Second, flow.Values{}, req, last)
+			So(err, ShouldBeNil)
+			return a.Code
+		}
+		So(run(flow.Request{Op: flow.BeginReadWriteTx}, false), ShouldEqual, flow.OK)
+		started := time.Now()
+		stopped := stopInBackground(c, leading)
+		c.eventually("another leader", func() bool { return leadingHost(c) != "" })
+		So(time.Since(started), ShouldBeLessThan, 2*time.Second)
+		So(run(flow.Request{ID: "c", Text: "COMMIT", Writes: true}, true), ShouldEqual, flow.OK)
+		So(<-stopped, ShouldBeNil)
+	})
+}
--- a/internal/tools/node/node.go
+++ b/internal/tools/node/node.go
@@ -181,12 +181,16 @@
 }
 
 // beginDrain is the first step of a shutdown: it fails the load balancer's readiness check, stops
-// lending connections and tells the hosts that borrow them.
+// lending connections and tells the hosts that borrow them. A control host leaves the quorum
+// meanwhile: what runs on lent connections may take most of the drain.
 func (n *Node) beginDrain(ctx context.Context) {
 	n.draining.Store(true)
 	n.traffic.stopLending(ctx)
 	n.Agent.Drain()
 	n.Log.Info("shutdown requested; draining")
+	if n.control != nil {
+		n.control.left = n.control.startLeaving(ctx)
+	}
 }
 
 // leave removes this host from control's list of hosts, so that no failover waits for its lease to
