link: Keep other streams when a lease stream is unanswered

What callers saw: a statement on a connection that a control host lends was broken off although neither the host nor the instance had failed. A read was tried again elsewhere, a write was answered as in doubt.

Cause: a host has one connection to each other host, for all its streams. The agent closed it when a lease stream got no answer within 250 ms (the first) or 650 ms, since it may be dead, and with it all statements on lent connections. But a control host may leave a lease stream unanswered because its quorum is slow or it waits for a leader, above all while hosts stop and start.

Now the connection gets no new streams, and the next stream opens another one as before. The old one goes on until its streams have ended, or is closed once the other host leaves a ping unanswered for 300 ms: then it is dead or the host is silent.

TestUnansweredLeaseStreamKeepsOtherStreams failed before with EOF after the 60 ms of its lease timeout. Not ruled out: that a stream of its own session for lent connections would be simpler; it would double the connections between hosts.

--- a/internal/base/link/link.go
+++ b/internal/base/link/link.go
@@ -38,6 +38,10 @@
 	keepAliveInterval = 2 * time.Second
 	// streamWindowBytes is the flow control window of a stream.
 	streamWindowBytes = 1 << 20
+	// retiredPingTimeout is how long a host may take to answer a ping on a retired connection; a round
+	// trip takes a few milliseconds. retiredCheckInterval is the time between two pings.
+	retiredPingTimeout   = 300 * time.Millisecond
+	retiredCheckInterval = 100 * time.Millisecond
 )
 
 // Conn is one stream of messages. Recv and Send may run concurrently, but only one goroutine may call
@@ -114,9 +118,13 @@
 	if !ok {
 		return errNoSession
 	}
+	return ping(s.Session(), limit)
+}
+
+func ping(session *yamux.Session, limit time.Duration) error {
 	done := make(chan error, 1)
 	go func() {
-		_, err := s.Session().Ping()
+		_, err := session.Ping()
 		done <- err
 	}()
 	t := time.NewTimer(limit)
@@ -268,9 +276,14 @@
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 	// Timeout bounds the opening of a TCP connection; zero means 1 s.
 	Timeout time.Duration
+	// OnSilent, if set, is called when a retired connection is closed because the other host is
+	// silent, with the number of its streams.
+	OnSilent func(addr string, streams int)
 
 	mu       sync.Mutex
 	sessions map[string]*yamux.Session
+	// retired are the sessions that still carry streams but get no new ones.
+	retired map[*yamux.Session]struct{}
 	// pending are the sessions that are being opened, by address.
 	pending map[string]*pendingSession
 }
@@ -383,16 +396,40 @@
 	}
 }
 
-// CloseSession closes the session with addr and all its streams. It is used when a stream has received
-// nothing for too long; the next stream opens a new connection.
-func (d *Dialer) CloseSession(addr string) {
+// RetireSession makes the next stream to addr open a new connection. It is used when a stream has
+// received nothing for too long. The connection may be dead, but the cause may also be the service:
+// as long as the other host answers pings, the other streams on the connection go on.
+func (d *Dialer) RetireSession(addr string) {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	session := d.sessions[addr]
+	if session == nil {
+		return
+	}
 	delete(d.sessions, addr)
-	d.mu.Unlock()
-	if session != nil {
-		session.Close()
+	if d.retired == nil {
+		d.retired = map[*yamux.Session]struct{}{}
 	}
+	d.retired[session] = struct{}{}
+	go d.closeWhenUnused(addr, session)
+}
+
+// closeWhenUnused closes a retired session once its streams have ended or the other host is silent. It
+// ends when the session is closed.
+func (d *Dialer) closeWhenUnused(addr string, session *yamux.Session) {
+	for session.NumStreams() > 0 {
+		if err := ping(session, retiredPingTimeout); err != nil {
+			if n := session.NumStreams(); n > 0 && !session.IsClosed() && d.OnSilent != nil {
+				d.OnSilent(addr, n)
+			}
+			break
+		}
+		time.Sleep(retiredCheckInterval)
+	}
+	session.Close()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.retired, session)
 }
 
 // Splice copies data between two streams in both directions until one of them ends, then closes both.
@@ -470,4 +507,7 @@
 		session.Close()
 		delete(d.sessions, addr)
 	}
+	for session := range d.retired {
+		session.Close()
+	}
 }
--- a/internal/control/agent/agent.go
+++ b/internal/control/agent/agent.go
@@ -233,7 +233,7 @@
 		a.recordFailure()
 		return err
 	}
-	a.Dialer.CloseSession(addr)
+	a.Dialer.RetireSession(addr)
 	a.recordUnanswered(addr, service)
 	return err
 }
--- a/internal/control/agent/agent_test.go
+++ b/internal/control/agent/agent_test.go
@@ -220,3 +220,44 @@
 		})
 	})
 }
+
+// TestUnansweredLeaseStreamKeepsOtherStreams guards against statements on lent connections that are broken
+// off because the lending control host is slow to answer on a lease stream.
+func TestUnansweredLeaseStreamKeepsOtherStreams(t *testing.T) {
+	Convey("Given a control host that runs a statement and leaves lease streams unanswered", t, func() {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		ctx, cancel := context.WithCancel(t.Context())
+		var unanswered atomic.Int64
+		served := (&link.Server{Listener: ln, Handlers: map[string]link.Handler{
+			leader.LeaseService: func(_ context.Context, _ string, c *link.Conn) {
+				unanswered.Add(1)
+				for c.Recv(&wire.LeaseRenewal{}) == nil {
+				}
+			},
+			"statement": func(_ context.Context, _ string, c *link.Conn) {
+				m := &wire.BootstrapState{}
+				if c.Recv(m) == nil {
+					time.Sleep(500 * time.Millisecond)
+					_ = c.Send(m)
+				}
+			},
+		}}).Run(ctx)
+		dialer := &link.Dialer{Host: "h"}
+		c, err := dialer.Open(ctx, ln.Addr().String(), "statement")
+		So(err, ShouldBeNil)
+		So(c.Send(&wire.BootstrapState{}), ShouldBeNil)
+		a := &agent.Agent{
+			Host: "h", Registration: &wire.HostState{}, Peers: []conf.Peer{{LinkAddr: ln.Addr().String()}}, RenewInterval: 20 * time.Millisecond, StreamTimeout: 60 * time.Millisecond,
+			Dialer: dialer, Log: logs.Discard(), Meter: meter.New(), Now: clock.Monotonic,
+		}
+		a.Prepare()
+		done := a.Run(ctx)
+		So(c.Recv(&wire.BootstrapState{}), ShouldBeNil)
+		So(unanswered.Load(), ShouldBeGreaterThan, 1)
+		cancel()
+		So(<-done, ShouldBeNil)
+		dialer.Close()
+		So(<-served, ShouldBeNil)
+	})
+}
