lend: Stop only once no borrower sends requests any more

What callers would see: a write in doubt although it never ran, when a control host stops while other hosts don't yet know that it lends no more.

Cause: the drain ended as soon as nothing was lent. The host then closed its connections, and requests that were on their way could neither be run nor refused. Their borrowers can't tell what became of them.

Now the drain also waits until all hosts know that this one is draining (the revision is in force) and none has sent a request for 60 ms, at most 1 s from the start of the shutdown. Requests that arrive meanwhile are refused as not sent. A stream is served until it ends, not until the server stops, so that this also holds while the connections are being closed.

TestNoRequestIsInDoubtWhenLenderStops failed before: one of four borrowers had a request without an answer.

--- a/internal/tools/node/traffic.go
+++ b/internal/tools/node/traffic.go
@@ -49,7 +49,7 @@
 		LeaveBound: n.cfg.LeaveBound(), Log: n.Log, Meter: n.Meter, Now: clock.Monotonic,
 	}
 	t.topology.Prepare()
-	t.lender = &lend.Lender{Topology: t.topology, Log: n.Log, Meter: n.Meter, Now: clock.Monotonic}
+	t.lender = &lend.Lender{Topology: t.topology, Log: n.Log, Meter: n.Meter, Now: clock.Monotonic, Withdrawn: n.withdrawn}
 	n.links.Handlers[lend.Service] = t.lender.Serve
 	n.links.Handlers[agent.RelayService] = n.Agent.Relay
 	n.traffic = t
@@ -124,6 +124,12 @@
 	t.lender.StopLending(drain.New(now, 0, t.n.transactionLimit(), end))
 }
 
+// withdrawn reports whether all hosts know that this host drains, so that none borrows from it.
+func (n *Node) withdrawn() bool {
+	r := n.Agent.View().Get(spec.Hosts, n.cfg.Host)
+	return r.GetHost().GetDraining() && n.Agent.InForce() >= r.Revision
+}
+
 // drainLender waits until nothing runs on lent connections.
 func (t *traffic) drainLender(ctx context.Context) {
 	t.stopLending(ctx)
--- a/internal/traffic/lend/drain_test.go
+++ b/internal/traffic/lend/drain_test.go
@@ -251,3 +251,49 @@
 		})
 	})
 }
+
+// TestNoRequestIsInDoubtWhenLenderStops guards against writes that are in doubt although they did not run,
+// since the lender closed the connection before it could refuse them.
+func TestNoRequestIsInDoubtWhenLenderStops(t *testing.T) {
+	Convey("Given hosts that borrow for one write after the other until the lender has been withdrawn", t, func() {
+		h := startLendingHost(t, 2*time.Millisecond)
+		withdrawn := make(chan struct{})
+		h.Withdrawn = func() bool {
+			select {
+			case <-withdrawn:
+				return true
+			default:
+				return false
+			}
+		}
+		inDoubt := make(chan int, 4)
+		for i := range cap(inDoubt) {
+			go func() {
+				n := 0
+				defer func() { inDoubt <- n }()
+				for j := 0; ; j++ {
+					select {
+					case <-withdrawn:
+						return
+					default:
+					}
+					handle, err := h.borrower.Open(h.addr, "g", "i", pool.Priority{Rank: 2}, time.Second)
+					if err != nil {
+						continue
+					}
+					if o := <-run(handle, write(fmt.Sprint(i, ".", j)), true); o.err != nil && o.stage != flow.Unsent {
+						n++
+					}
+					handle.Release()
+				}
+			}()
+		}
+		time.Sleep(50 * time.Millisecond)
+		time.AfterFunc(200*time.Millisecond, func() { close(withdrawn) })
+		h.stopLending()
+		h.drainAndStop()
+		for range cap(inDoubt) {
+			So(<-inDoubt, ShouldEqual, 0)
+		}
+	})
+}
--- a/internal/traffic/lend/lend.go
+++ b/internal/traffic/lend/lend.go
@@ -40,6 +40,11 @@
 	// pingTimeout how long the ping may take; a round trip takes a few milliseconds.
 	pingAfter   = 80 * time.Millisecond
 	pingTimeout = 200 * time.Millisecond
+	// withdrawalTimeout limits the wait, at shutdown, until other hosts know that this host lends no
+	// more; an update reaches all of them within two lease renewals.
+	withdrawalTimeout = time.Second
+	// withdrawnQuiet is how long no request may have arrived by then.
+	withdrawnQuiet = 60 * time.Millisecond
 	// drainPollInterval is the interval at which a drain checks for lent connections.
 	drainPollInterval = 20 * time.Millisecond
 )
@@ -52,6 +57,8 @@
 	Meter    *meter.Meter
 	// Now returns the current time; tests replace it.
 	Now func() time.Time
+	// Withdrawn, if set, reports whether all other hosts know that this host lends no more.
+	Withdrawn func() bool
 
 	mu sync.Mutex
 	// running are the streams with a request that has arrived and whose answer is not sent yet.
@@ -59,6 +66,8 @@
 	// held is the number of connections that are lent at present.
 	held     int
 	schedule drain.Schedule
+	// arrivedAt is when the last request arrived.
+	arrivedAt time.Time
 }
 
 // lentStream is the lender's side of a stream. It lends at most one connection at a time.
@@ -74,11 +83,11 @@
 	request string
 }
 
-// Serve serves the requests of one stream until ctx or the stream ends. It is a link.Handler.
+// Serve serves the requests of one stream until the stream ends. It is a link.Handler.
 func (l *Lender) Serve(ctx context.Context, from string, c *link.Conn) {
 	s := &lentStream{lender: l, conn: c, host: from}
 	defer s.rollback()
-	for ctx.Err() == nil {
+	for {
 		req := &wire.LendRequest{}
 		if c.Recv(req) != nil || !s.serve(ctx, req) {
 			return
@@ -92,7 +101,7 @@
 	if req.Instance != "" {
 		s.instance = req.Instance
 	}
-	s.lender.begin(s)
+	s.lender.begin(s.lender.Now(), s)
 	defer s.lender.finish(s)
 	if err := s.conn.Send(s.answer(ctx, req)); err != nil {
 		s.logCut("borrower", err)
@@ -153,13 +162,14 @@
 }
 
 // begin counts a request as running.
-func (l *Lender) begin(s *lentStream) {
+func (l *Lender) begin(now time.Time, s *lentStream) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.running == nil {
 		l.running = map[*lentStream]struct{}{}
 	}
 	l.running[s] = struct{}{}
+	l.arrivedAt = now
 }
 
 // finish ends a request that begin has counted.
@@ -249,9 +259,14 @@
 }
 
 // Drain waits, after StopLending, until all running requests are answered, which their own time limits
-// bound, and the transactions have ended. It returns early if ctx ends.
+// bound, the transactions have ended, and no more requests are on their way. It returns early if ctx
+// ends.
 func (l *Lender) Drain(ctx context.Context) {
-	for ctx.Err() == nil && !l.drained(l.Now()) {
+	for ctx.Err() == nil {
+		now := l.Now()
+		if l.drained(now) && (l.isWithdrawn(now) || l.withdrawalOverdue(now)) {
+			break
+		}
 		clock.Sleep(ctx, drainPollInterval)
 	}
 	l.logUnfinished()
@@ -264,6 +279,21 @@
 	return len(l.running) == 0 && (l.held == 0 || l.schedule.Closes(now, lentIdle))
 }
 
+// isWithdrawn reports whether no host sends requests any more. One that is on its way when the connection
+// to the borrower is closed cannot be refused, and a write would be in doubt.
+func (l *Lender) isWithdrawn(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Sub(l.arrivedAt) >= withdrawnQuiet && (l.Withdrawn == nil || l.Withdrawn())
+}
+
+// withdrawalOverdue reports whether the wait for other hosts has lasted too long.
+func (l *Lender) withdrawalOverdue(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Sub(l.schedule.Started) >= withdrawalTimeout
+}
+
 // logUnfinished logs the requests and counts the transactions that the end of a drain breaks off.
 func (l *Lender) logUnfinished() {
 	l.mu.Lock()
