link: Close a connection only once what was sent has arrived

What callers would see: the answer to a statement on a lent connection is lost though the lender sent it in time; a write is in doubt. This hits borrowers that are slow to read, for lack of processor time, and that send meanwhile.

Cause: at its stop the server closed all connections at once. The borrower's next write to a closed connection fails, and yamux then drops the session with the answers that are still in the socket.

Now the server pings the other host first, on all connections concurrently. The answer to a ping is sent only after all that came before it was read. A host that is silent holds up the stop for 250 ms, half of the limit for the stop of a service.

--- a/internal/base/link/link.go
+++ b/internal/base/link/link.go
@@ -38,6 +38,8 @@
 	keepAliveInterval = 2 * time.Second
 	// streamWindowBytes is the flow control window of a stream.
 	streamWindowBytes = 1 << 20
+	// flushTimeout limits the wait, before a session is closed, until the other host has what was sent.
+	flushTimeout = 250 * time.Millisecond
 	// retiredPingTimeout is how long a host may take to answer a ping on a retired connection; a round
 	// trip takes a few milliseconds. retiredCheckInterval is the time between two pings.
 	retiredPingTimeout   = 300 * time.Millisecond
@@ -171,7 +173,8 @@
 	wg       sync.WaitGroup
 }
 
-// Run serves in the background until ctx is done. Once all handlers have returned, the returned channel
+// Run serves in the background until ctx is done. Handlers go on until what they have sent was received, for
+// at most flushTimeout, and then lose their streams. Once all have returned, the returned channel
 // receives nil, or the error with which accepting connections failed.
 func (s *Server) Run(ctx context.Context) <-chan error {
 	s.sessions = map[*yamux.Session]struct{}{}
@@ -179,11 +182,7 @@
 	go func() {
 		<-ctx.Done()
 		s.Listener.Close()
-		s.mu.Lock()
-		for session := range s.sessions {
-			session.Close()
-		}
-		s.mu.Unlock()
+		s.closeSessions()
 	}()
 	go func() {
 		err := s.accept(ctx)
@@ -193,6 +192,19 @@
 	return done
 }
 
+// closeSessions closes each session once the other host has received what was sent to it: the answer to a
+// ping is sent after all of that was read. A host that does not answer loses it after flushTimeout.
+func (s *Server) closeSessions() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for session := range s.sessions {
+		go func() {
+			_ = ping(session, flushTimeout)
+			session.Close()
+		}()
+	}
+}
+
 func (s *Server) accept(ctx context.Context) error {
 	for {
 		raw, err := s.Listener.Accept()
