lend: Tell a borrower's callers the truth, in time, when a lender fails

What callers saw when the host that lends is silent, suspended or gone, three faults: - A write behind a silent lender was answered only after its time limit plus the time it may have waited for a connection: 1.15 s for a limit of 0.5 s. Both now end together, at the borrower and at the lender, which counts the wait as part of the limit. - A read inside a transaction was abandoned once the lender left a ping unanswered, after 0.28 s, as if it could be tried elsewhere, and the transaction was aborted. Now only the first request of a use is. - A commit was in doubt if the connection to the lender had ended before it was sent. Nothing was sent and the lender rolls back, so it now counts as unsent.

The cause in `try failed` lines now names the lender. The quiet time at the end of a drain is 150 ms in place of 60, since a borrower that is short of processor time may take longer between choosing a lender and asking it.

--- a/internal/traffic/lend/lend.go
+++ b/internal/traffic/lend/lend.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"net"
 	"sync"
 	"time"
 
@@ -28,6 +30,8 @@
 const (
 	// transitAllowance is added to the time limit of a request for the network between hosts.
 	transitAllowance = 150 * time.Millisecond
+	// minLimit is the least time limit of a request that has waited for a connection.
+	minLimit = 10 * time.Millisecond
 	// maxIdleStreams is the maximum number of idle streams that are kept per lending host.
 	maxIdleStreams = 8
 	// openTimeout limits the opening of a stream.
@@ -44,7 +48,7 @@
 	// more; an update reaches all of them within two lease renewals.
 	withdrawalTimeout = time.Second
 	// withdrawnQuiet is how long no request may have arrived by then.
-	withdrawnQuiet = 60 * time.Millisecond
+	withdrawnQuiet = 150 * time.Millisecond
 	// drainPollInterval is the interval at which a drain checks for lent connections.
 	drainPollInterval = 20 * time.Millisecond
 )
@@ -114,8 +118,9 @@
 // reply.
 func (s *lentStream) answer(ctx context.Context, req *wire.LendRequest) *wire.LendReply {
 	l := s.lender
+	arrived := l.Now()
 	reply := &wire.LendReply{}
-	if err := l.refusal(l.Now(), s); err != nil {
+	if err := l.refusal(arrived, s); err != nil {
 		s.rollback()
 		reply.Error = err.Error()
 		return reply
@@ -128,7 +133,9 @@
 		}
 		s.setHandle(handle)
 	}
-	if s.run(req, reply) {
+	// The borrower counts its time limit from when it sent the request.
+	left := max(time.Duration(req.Limit), time.Duration(req.Patience)) - l.Now().Sub(arrived)
+	if s.run(min(time.Duration(req.Limit), max(left, minLimit)), req, reply) {
 		s.setHandle(nil)
 	}
 	return reply
@@ -217,10 +224,10 @@
 	return l.Topology.Member(req.Group, req.Instance)
 }
 
-// run runs a request and fills in the reply. It returns true if the connection is no longer lent.
-func (s *lentStream) run(req *wire.LendRequest, reply *wire.LendReply) bool {
+// run runs a request within limit and fills in the reply. It returns true if the connection is no longer lent.
+func (s *lentStream) run(limit time.Duration, req *wire.LendRequest, reply *wire.LendReply) bool {
 	start := time.Now()
-	a, stage, err := s.handle.Run(time.Duration(req.Limit), flow.ValuesOf(req.Values), requestFromWire(req.Question), req.Last)
+	a, stage, err := s.handle.Run(limit, flow.ValuesOf(req.Values), requestFromWire(req.Question), req.Last)
 	reply.Took = int64(time.Since(start))
 	reply.Stage = uint32(stage)
 	if err != nil {
@@ -493,27 +500,31 @@
 
 // Run implements pool.Handle.
 func (b *borrowedConn) Run(timeout time.Duration, values flow.Values, req flow.Request, last bool) (flow.Answer, flow.Stage, error) {
+	if b.stream.SessionClosed() {
+		return flow.Answer{}, flow.Unsent, fmt.Errorf("lender %s: %w", b.addr, net.ErrClosed)
+	}
 	lendReq := &wire.LendRequest{Limit: int64(timeout), Values: values.Pairs(), Question: requestToWire(req), Last: last}
-	streamTimeout := timeout + transitAllowance
+	streamTimeout := timeout
+	retryable := b.openParams != nil && !req.Writes
 	if b.openParams != nil {
 		lendReq.Group, lendReq.Instance, lendReq.Rank, lendReq.Database, lendReq.Patience = b.openParams.Group, b.openParams.Instance, b.openParams.Rank, b.openParams.Database, b.openParams.Patience
-		streamTimeout += time.Duration(b.openParams.Patience)
+		streamTimeout = max(timeout, time.Duration(b.openParams.Patience))
 		b.openParams = nil
 	}
-	if err := b.stream.SetDeadline(time.Now().Add(streamTimeout)); err != nil {
+	if err := b.stream.SetDeadline(time.Now().Add(streamTimeout + transitAllowance)); err != nil {
 		return flow.Answer{}, flow.Unsent, err
 	}
 	if err := b.stream.Send(lendReq); err != nil {
-		return flow.Answer{}, flow.Sent, err
+		return flow.Answer{}, flow.Sent, fmt.Errorf("lender %s: %w", b.addr, err)
 	}
 	reply := &wire.LendReply{}
-	if err := b.receive(reply, req.Writes); err != nil {
+	if err := b.receive(reply, retryable); err != nil {
 		b.borrower.checkHost(b.addr, b.stream)
-		return flow.Answer{}, flow.Sent, err
+		return flow.Answer{}, flow.Sent, fmt.Errorf("lender %s: %w", b.addr, err)
 	}
 	if reply.Error != "" {
 		b.returned = true
-		return flow.Answer{}, flow.Stage(reply.Stage), errors.New("lender: " + reply.Error)
+		return flow.Answer{}, flow.Stage(reply.Stage), fmt.Errorf("lender %s: %s", b.addr, reply.Error)
 	}
 	a := flow.Answer{
 		Rows: reply.Rows, Proof: reply.Proof, Code: flow.Code(reply.Code), Text: reply.Text, State: flow.State(reply.State),
@@ -526,16 +537,17 @@
 	return a, flow.Answered, nil
 }
 
-// receive waits for the answer. A read is abandoned as soon as the lending host fails a ping, since
-// it can be retried elsewhere. A write waits until the stream's deadline.
-func (b *borrowedConn) receive(reply *wire.LendReply, writes bool) error {
+// receive waits for the answer. A request that can be tried elsewhere is abandoned as soon as the
+// lending host fails a ping. Others, writes and requests in transactions, wait until the stream's
+// deadline.
+func (b *borrowedConn) receive(reply *wire.LendReply, retryable bool) error {
 	var mu sync.Mutex
 	ended := false
 	timer := time.AfterFunc(pingAfter, func() {
 		alive := b.borrower.ping(b.addr, b.stream)
 		mu.Lock()
 		defer mu.Unlock()
-		if !alive && !writes && !ended {
+		if !alive && retryable && !ended {
 			_ = b.stream.SetDeadline(time.Now())
 		}
 	})
