lend: Test that changed instances cut no running statement

A new incarnation, another address, a replacement and a removal each leave a write that runs on a lent connection alone.

--- a/internal/traffic/lend/drain_test.go
+++ b/internal/traffic/lend/drain_test.go
@@ -39,6 +39,8 @@
 // lendingHost is a control host that lends connections to a primary, and a host that borrows them.
 type lendingHost struct {
 	*lend.Lender
+	agent    *agent.Agent
+	instance string
 	group    *mimic.Group
 	dialer   *link.Dialer
 	borrower *lend.Borrower
@@ -71,16 +73,11 @@
 			},
 		}
 	}
-	m := spec.Manifest{Number: 1, Groups: []spec.ManifestGroup{{Name: "g", MaxConnections: 22}}}
-	a.OnView(agent.NewView(1, []*wire.Resource{
-		{Kind: string(spec.Manifests), Name: spec.CurrentManifest, Version: 1, Revision: 1, Spec: m.Encode()},
-		{Kind: string(spec.Hosts), Name: "k", Revision: 1, Host: &wire.HostState{Center: "a", Link: "k", Roles: []string{string(conf.RoleControl)}}},
-		{Kind: string(spec.Backends), Name: "i", Revision: 1, Backend: &wire.BackendState{Group: "g", Addr: instance, Center: "a", Slots: 4, Born: 1}},
-	}))
+	a.OnView(agent.NewView(1, resources(backend("i", instance, 1))))
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	So(err, ShouldBeNil)
 	ctx, cancel := context.WithCancel(context.Background())
-	h := &lendingHost{Lender: &lend.Lender{Topology: topology, Log: logs.Discard(), Meter: meter.New(), Now: clock.Monotonic}, dialer: &link.Dialer{Host: "e"}, addr: ln.Addr().String()}
+	h := &lendingHost{Lender: &lend.Lender{Topology: topology, Log: logs.Discard(), Meter: meter.New(), Now: clock.Monotonic}, agent: a, instance: instance, dialer: &link.Dialer{Host: "e"}, addr: ln.Addr().String()}
 	served := (&link.Server{Listener: ln, Handlers: map[string]link.Handler{lend.Service: h.Serve}}).Run(ctx)
 	stopped := false
 	h.stop = func() {
@@ -98,6 +95,19 @@
 	return h
 }
 
+// resources returns the resources of a group with the given instances.
+func resources(instances ...*wire.Resource) []*wire.Resource {
+	m := spec.Manifest{Number: 1, Groups: []spec.ManifestGroup{{Name: "g", MaxConnections: 22}}}
+	return append(instances,
+		&wire.Resource{Kind: string(spec.Manifests), Name: spec.CurrentManifest, Version: 1, Revision: 1, Spec: m.Encode()},
+		&wire.Resource{Kind: string(spec.Hosts), Name: "k", Revision: 1, Host: &wire.HostState{Center: "a", Link: "k", Roles: []string{string(conf.RoleControl)}}})
+}
+
+// backend returns an instance that started at born.
+func backend(name, addr string, born int64) *wire.Resource {
+	return &wire.Resource{Kind: string(spec.Backends), Name: name, Revision: 1, Backend: &wire.BackendState{Group: "g", Addr: addr, Center: "a", Slots: 4, Born: born}}
+}
+
 // stopLending starts a drain that ends after drainLimit.
 func (h *lendingHost) stopLending() {
 	now := clock.Monotonic()
@@ -297,3 +307,24 @@
 		}
 	})
 }
+
+// TestChangedTopologyKeepsRunningStatements guards against statements that are cut because their instance is
+// announced anew, replaced or removed.
+func TestChangedTopologyKeepsRunningStatements(t *testing.T) {
+	for name, instances := range map[string]func(addr string) []*wire.Resource{
+		"has a new incarnation": func(addr string) []*wire.Resource { return []*wire.Resource{backend("i", addr, 2)} },
+		"has another address":   func(string) []*wire.Resource { return []*wire.Resource{backend("i", "127.0.0.1:1", 1)} },
+		"is replaced":           func(addr string) []*wire.Resource { return []*wire.Resource{backend("j", addr, 2)} },
+		"is removed":            func(string) []*wire.Resource { return nil },
+	} {
+		Convey("A write gets its answer although its instance "+name, t, func() {
+			h := startLendingHost(t, 200*time.Millisecond)
+			handle := h.open()
+			defer handle.Release()
+			done := run(handle, write("w"), true)
+			h.awaitArrival()
+			h.agent.OnView(agent.NewView(2, resources(instances(h.instance)...)))
+			So(<-done, ShouldResemble, outcome{flow.OK, flow.Answered, nil})
+		})
+	}
+}
