link: End the opening of a stream with its context

What callers would see: while a lender is silent, statements wait for up to 4 s, whatever their limit, until the keep-alive ends the session.

Cause: once 256 streams wait to be accepted, yamux blocks the next one, and Dialer.Open did not pass its context on. It takes that many statements to one lender in the 0.28 s before a silent host is avoided.

TestOpenEndsWithItsContext failed before: an open with a context of 100 ms had not returned after 20 s (there the session is never closed). An opening that is given up no longer closes the session, which other streams use.

--- a/internal/base/link/link.go
+++ b/internal/base/link/link.go
@@ -38,6 +38,8 @@
 	keepAliveInterval = 2 * time.Second
 	// streamWindowBytes is the flow control window of a stream.
 	streamWindowBytes = 1 << 20
+	// acceptBacklog is the number of streams that may be opened before the other host accepts one.
+	acceptBacklog = 256
 	// flushTimeout limits the wait, before a session is closed, until the other host has what was sent.
 	flushTimeout = 250 * time.Millisecond
 	// retiredPingTimeout is how long a host may take to answer a ping on a retired connection; a round
@@ -153,6 +155,7 @@
 	cfg.KeepAliveInterval = keepAliveInterval
 	cfg.ConnectionWriteTimeout = writeTimeout
 	cfg.MaxStreamWindowSize = streamWindowBytes
+	cfg.AcceptBacklog = acceptBacklog
 	cfg.LogOutput = io.Discard
 	return cfg
 }
@@ -318,9 +321,11 @@
 	if err != nil {
 		return nil, err
 	}
-	raw, err := session.OpenStream()
+	raw, err := openStream(ctx, session)
 	if err != nil {
-		d.dropSession(addr, session)
+		if ctx.Err() == nil {
+			d.dropSession(addr, session)
+		}
 		return nil, fmt.Errorf("open stream to %s: %w", addr, err)
 	}
 	c := newConn(raw)
@@ -332,6 +337,36 @@
 	return c, nil
 }
 
+// openedStream is the result of opening a stream.
+type openedStream struct {
+	stream *yamux.Stream
+	err    error
+}
+
+// openStream opens a stream. If the other host may have acceptBacklog streams to accept, yamux waits until
+// it has accepted one, and openStream at most until ctx is done.
+func openStream(ctx context.Context, session *yamux.Session) (*yamux.Stream, error) {
+	if session.NumStreams() < acceptBacklog {
+		return session.OpenStream()
+	}
+	result := make(chan openedStream, 1)
+	go func() {
+		stream, err := session.OpenStream()
+		result <- openedStream{stream, err}
+	}()
+	select {
+	case r := <-result:
+		return r.stream, r.err
+	case <-ctx.Done():
+	}
+	go func() {
+		if r := <-result; r.err == nil {
+			r.stream.Close()
+		}
+	}()
+	return nil, ctx.Err()
+}
+
 // sharedSession returns the session with addr, or opens one. Concurrent calls share one attempt to open
 // it: with hundreds of statements in flight, one connection each would use up the file descriptors of
 // the other host.
