front: Close only what the kernel has delivered, answer held startups at the limit

What callers saw: an answer cut in the middle (reset by peer) when the caller's next statement arrived after the close, while the kernel still sent the answer; startup messages without an answer at the drain's limit.

Cause: bytes in the kernel's buffer counted as sent; the kernel drops them when bytes arrive on a closed socket. Startup messages are held by a goroutine that ended with the server only.

Change: unacknowledged bytes beyond what TCP sends at once hold up the close, for callers that send ahead any. Held startup messages are answered at the limit for answers.

--- a/internal/traffic/front/caller.go
+++ b/internal/traffic/front/caller.go
@@ -27,7 +27,8 @@
 	busy    bool
 	closed  bool
 	session *sess.Session
-	// cancel ends the running statement, if any: its caller no longer waits for the answer.
+	// cancel ends the running statement, if any: its caller no longer waits for the answer. For a held
+	// startup message it ends the hold.
 	cancel context.CancelFunc
 	// running is the ID of the running statement, or of the last one; startedAt is when it arrived.
 	running   string
@@ -169,19 +170,30 @@
 	if c.abandoned {
 		st.Running = false
 	}
-	if c.sendsAhead && !st.Running {
-		// The next message of such a caller may arrive after the close; the reset that it causes drops
-		// what the caller's host has not received.
-		received, unsent, err := sock.Pending(c.conn.Fd())
-		if err != nil {
-			c.srv.Meter.AddCounter("callers.pending.unknown", 1)
-			c.srv.Log.WithField("error", err.Error()).Debug("kernel does not tell what is pending on a caller connection")
-		}
-		st.Received, st.Unsent = st.Received+received, st.Unsent+unsent
+	if !st.Running {
+		c.addPending(&st)
 	}
 	return st
 }
 
+// initialWindow is the number of bytes that TCP sends at once on a new connection (RFC 6928).
+const initialWindow = 10 * 1460
+
+// addPending adds to st what the kernel has not delivered. If the caller's next message arrives after
+// the close, the kernel resets the connection and drops what it has not sent. A caller that sends one
+// statement at a time has read the last answer by then, unless that was too large to be sent at once.
+func (c *caller) addPending(st *drain.Conn) {
+	received, unsent, err := sock.Pending(c.conn.Fd())
+	if err != nil {
+		c.srv.Meter.AddCounter("callers.pending.unknown", 1)
+		c.srv.Log.WithField("error", err.Error()).Debug("kernel does not tell what is pending on a caller connection")
+		return
+	}
+	if c.sendsAhead || unsent > initialWindow {
+		st.Received, st.Unsent = st.Received+received, st.Unsent+unsent
+	}
+}
+
 // reject returns the error answer to a message that the codec cannot parse.
 func (c *caller) reject(err error) []byte {
 	c.srv.Meter.AddCounter("refused.badmessage", 1)
@@ -302,8 +314,12 @@
 	defer c.srv.wg.Done()
 	ctx, cancel := context.WithTimeout(c.srv.ctx, startupHoldLimit)
 	defer cancel()
+	c.mu.Lock()
+	c.cancel = cancel
+	c.mu.Unlock()
 	clock.Await(ctx, c.srv.DatabasesKnown)
 	c.mu.Lock()
+	c.cancel = nil
 	out := c.startSession(c.srv.Now(), &startup)
 	c.mu.Unlock()
 	c.reply(out)
@@ -338,10 +354,13 @@
 	c.reply(out)
 }
 
-// abandon answers a statement that still runs with what is certain of it.
+// abandon answers a statement that still runs with what is certain of it, and a held startup message.
 func (c *caller) abandon() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.session == nil && c.cancel != nil {
+		c.cancel()
+	}
 	if c.closed || c.fallback == nil {
 		return
 	}
