--- a/internal/tools/soak/soak.go
+++ b/internal/tools/soak/soak.go
@@ -29,6 +29,8 @@
 	// leaveBound is how long after its announcement an instance that leaves may get new requests. It is
 	// short, so that it passes several times in a run.
 	leaveBound = 2 * time.Second
+	// maxListed is the number of violations that a report lists.
+	maxListed = 40
 	// statementTime is how long a statement takes, except in runs with planned work.
 	statementTime = 2 * time.Millisecond
 	// pollInterval is the time between two checks of a condition.
@@ -471,12 +473,12 @@
 	}
 }
 
-// String returns the counts on one line, followed by up to ten violations, one a line.
+// String returns the counts on one line, followed by up to maxListed violations, one a line.
 func (r Report) String() string {
 	text := fmt.Sprintf("seed %d: %d faults, %d acknowledged, %d not run, %d may have run, %d reads, %d statements answered, %d answers cut with an excuse, %d violations",
 		r.Seed, r.Faults, r.Acked, r.NotRun, r.MayHaveRun, r.Reads, r.Answered, len(r.Excused), len(r.Violations))
 	if len(r.Violations) > 0 {
-		text += "\n  " + strings.Join(r.Violations[:min(len(r.Violations), 10)], "\n  ")
+		text += "\n  " + strings.Join(r.Violations[:min(len(r.Violations), maxListed)], "\n  ")
 	}
 	return text
 }
