node: Test shutdowns of processes with callers

Entry hosts that run as processes get SIGTERM beside further signals, without control hosts, while they start, with transactions that go on, and with callers that connect until the process is gone.

--- a/internal/backend/mimic/cloud.go
+++ b/internal/backend/mimic/cloud.go
@@ -39,6 +39,14 @@
 	return !in.crashed
 }
 
+// announcedSlots returns the number of slots that the instance announces.
+func (in *Instance) announcedSlots() int {
+	if in.group.Slots > 0 {
+		return in.group.Slots
+	}
+	return 2
+}
+
 // sendHeartbeat posts one heartbeat to the first control host that accepts it.
 func (in *Instance) sendHeartbeat(ctx context.Context, control []string, seq int) {
 	role := "replica"
@@ -57,7 +65,7 @@
 		state = "draining"
 	}
 	b, err := json.Marshal(map[string]any{
-		"service": in.group.Name, "addr": addr, "zone": in.Zone, "version": "v1", "slots": 2, "state": state,
+		"service": in.group.Name, "addr": addr, "zone": in.Zone, "version": "v1", "slots": in.announcedSlots(), "state": state,
 		"cold_left_ms": 0, "db_role": role, "seq": seq, "born": in.startedAtMs,
 	})
 	if err != nil {
--- a/internal/backend/mimic/group.go
+++ b/internal/backend/mimic/group.go
@@ -51,9 +51,13 @@
 	QueueLimit int
 	// StatementTime is how long a statement occupies its slot.
 	StatementTime time.Duration
+	// ExtraTime, if set, returns how much longer than that a statement takes.
+	ExtraTime func(text string) time.Duration
 	// LeaveBound is how long after the acknowledgment of its announcement an instance that leaves may
 	// get new requests; 0 is unlimited.
 	LeaveBound time.Duration
+	// RecordRuns makes Runs available.
+	RecordRuns bool
 
 	// mu also guards the term, log, fault flags and connections of the instances.
 	mu           sync.Mutex
@@ -65,6 +69,8 @@
 	peakConns int
 	// lateRequests describes the requests that reached a leaving instance after LeaveBound.
 	lateRequests []string
+	// runs are the executions of statements by id.
+	runs map[string][]Run
 }
 
 // LateRequests returns a description of each request that reached an instance later than LeaveBound
--- a/internal/backend/mimic/instance.go
+++ b/internal/backend/mimic/instance.go
@@ -237,7 +237,10 @@
 			return
 		}
 		s.recordArrival(fields[1], fields[2])
-		if !s.admitQuery(fields[1], fields[2]) {
+		run := in.group.startRun(in.Name, fields[1], time.Now())
+		answered := s.admitQuery(fields[1], fields[2])
+		in.group.endRun(fields[1], run, answered, time.Now())
+		if !answered {
 			return
 		}
 	}
@@ -317,6 +320,9 @@
 		<-s.in.slots
 	}()
 	time.Sleep(s.in.group.StatementTime)
+	if s.in.group.ExtraTime != nil {
+		time.Sleep(s.in.group.ExtraTime(text))
+	}
 	s.in.executed.Add(1)
 	return s.execute(id, text)
 }
@@ -394,6 +400,9 @@
 			fmt.Fprintf(s.w, "ROW %s\r\n", s.settings[name])
 			return s.writeDone()
 		}
+		if size, ok := strings.CutPrefix(rest, "large:"); ok {
+			return s.writeRows(size)
+		}
 		return s.readItem(rest, entries)
 	case "WRITE":
 		item, data, _ := strings.Cut(rest, " ")
--- a/internal/tools/node/cluster_integration_test.go
+++ b/internal/tools/node/cluster_integration_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -93,17 +94,16 @@
 }
 
 // clusterSeq numbers the clusters of a test process, so that each has its own addresses.
-var clusterSeq int
+var clusterSeq atomic.Int64
 
 // startCluster starts a group of three instances, then control and entry hosts in front of it. Each
 // change is applied to the group before its start. With dropCloudResponses, the cloud runs every other
 // promotion without sending a response.
 func startCluster(t *testing.T, controlHosts, entryHosts int, dropCloudResponses bool, changes ...func(*mimic.Group)) *cluster {
 	t.Helper()
-	clusterSeq++
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &cluster{
-		t: t, prefix: fmt.Sprintf("127.%d.%d.", 20+os.Getpid()%200, clusterSeq), dir: t.TempDir(),
+		t: t, prefix: fmt.Sprintf("127.%d.%d.", 20+os.Getpid()%200, clusterSeq.Add(1)), dir: t.TempDir(),
 		running: map[string]*runningHost{}, ctx: ctx, cancel: cancel,
 		partitions: &partitions{blocked: map[string]func(string) bool{}, conns: map[string][]net.Conn{}},
 		group:      &mimic.Group{Name: "ledger", Lag: 30 * time.Millisecond, PromotionDelay: 150 * time.Millisecond, MaxConns: 16},
@@ -148,10 +148,9 @@
 func (c *cluster) restartControl(i int)       { c.startHost(fmt.Sprintf("core-%d", i), c.ip(i), true, false) }
 func (r *runningHost) stopAndWait() error     { r.stop(); return <-r.done }
 
-// startHost starts a control host or an entry host. firstStart says that the whole deployment starts
-// for the first time.
-func (c *cluster) startHost(name, ip string, isControl, firstStart bool) {
-	c.t.Helper()
+// settings returns the settings of a control host or an entry host. firstStart says that the whole
+// deployment starts for the first time.
+func (c *cluster) settings(name, ip string, isControl, firstStart bool) platform.Settings {
 	var s platform.Settings
 	s.Host, s.IP, s.Center, s.InternalPorts, s.Seeds, s.Bootstrap = name, ip, "a", []int{7440, 7455}, c.seeds, firstStart
 	s.Bounds.GraceSeconds = 6
@@ -164,6 +163,13 @@
 	} else {
 		s.Serves, s.Listen.Callers, s.Listen.Ready = []string{"edge"}, ip+":8784", ip+":8785"
 	}
+	return s
+}
+
+// startHost starts a control host or an entry host in this process.
+func (c *cluster) startHost(name, ip string, isControl, firstStart bool) {
+	c.t.Helper()
+	s := c.settings(name, ip, isControl, firstStart)
 	n, err := node.New(node.Options{Settings: s, Log: io.Discard, Level: "info", Dial: c.partitions.dial(name)})
 	if err != nil {
 		c.t.Fatal(err)
