--- a/internal/tools/node/drain_integration_test.go
+++ b/internal/tools/node/drain_integration_test.go
@@ -297,6 +297,29 @@
 	}
 }
 
+// TestShutdownCutsNoStatementNearItsTimeout guards against statements that are cut at the limit of a drain
+// which a caller that always sends ahead keeps from ending.
+func TestShutdownCutsNoStatementNearItsTimeout(t *testing.T) {
+	t.Parallel()
+	Convey("Given a process with a caller that always sends ahead", t, func() {
+		c, processes := startDrainCluster(t, 1)
+		p, ws := processes[0], &watchers{cluster: c}
+		ws.run(p.addr, "ahead", 4, false, "WRITE slow 1")
+		time.Sleep(200 * time.Millisecond)
+		Convey("A SIGTERM cuts no statement of callers that connect from then on", func() {
+			started := time.Now()
+			So(p.Process.Signal(syscall.SIGTERM), ShouldBeNil)
+			time.Sleep(2700 * time.Millisecond)
+			ws.connectDuring(p.addr, "late", 150*time.Millisecond, started.Add(drainLimit), "WRITE slow 1")
+			<-p.ended
+			ended, cut := time.Since(started), ws.wait()
+			t.Logf("%d callers, %d statements answered, %d not, process ended %s after SIGTERM: %v", ws.started, ws.served, ws.unanswered, ended, p.err)
+			So(cut, ShouldBeNil)
+			So(p.err, ShouldBeNil)
+		})
+	})
+}
+
 // TestShutdownIgnoresFurtherSignals covers signals that arrive while a process drains.
 func TestShutdownIgnoresFurtherSignals(t *testing.T) {
 	t.Parallel()
