--- a/internal/control/driver/sender_test.go
+++ b/internal/control/driver/sender_test.go
@@ -30,7 +30,7 @@
 			m := &wire.QuorumMessage{}
 			for c.Recv(m) == nil {
 				kinds <- m.Kind
-				dialer.CloseSession(voterListener.Addr().String())
+				dialer.Close()
 				if m.Kind == wire.MessageKind_PREVOTE {
 					sendMessage(ctx, voterDialer, candidateListener.Addr().String(), &wire.QuorumMessage{Kind: wire.MessageKind_PREVOTED, From: "b", To: "a", Term: m.Term})
 				}
