front: Test a slow reader at the timeout of a partial message

A caller that reads an answer slowly, but all the time, still saw EOF in the middle of it: the connection is closed a fixed time after the timeout of its partial message, whether or not the caller reads.

--- a/internal/traffic/front/cut_test.go
+++ b/internal/traffic/front/cut_test.go
@@ -446,7 +446,7 @@
 // TestMessageTimeoutCutsNoAnswer guards against an answer that is cut because a part of the caller's next
 // message has arrived long before the caller has read the answer.
 func TestMessageTimeoutCutsNoAnswer(t *testing.T) {
-	Convey("Given a caller that slowly reads a large answer and has sent a part of its next message", t, func() {
+	Convey("Given a caller of a large answer that has sent a part of its next message", t, func() {
 		rows := largeRows(12)
 		h := startCutHost(t, 50*time.Millisecond, rows, func(s *front.Server) { s.Limits.MessageTimeout = 300 * time.Millisecond })
 		defer h.stop()
@@ -454,13 +454,33 @@
 		defer c.Close()
 		So(c.send("WRITE a b"), ShouldBeNil)
 		fmt.Fprint(c, "QUERY 2 WRI")
-		time.Sleep(900 * time.Millisecond)
-		n, err := readAnswer(c.r)
-		So(err, ShouldBeNil)
-		So(n, ShouldBeGreaterThan, len(rows)*len(rows[0]))
+		readAll := func() {
+			n, err := readAnswer(c.r)
+			So(err, ShouldBeNil)
+			So(n, ShouldBeGreaterThan, len(rows)*len(rows[0]))
+		}
+		Convey("It gets the whole answer if it begins to read late", func() {
+			time.Sleep(900 * time.Millisecond)
+			readAll()
+		})
+		Convey("And if it reads slowly, but all the time", func() {
+			c.r = bufio.NewReaderSize(slowReader{c, 10 * time.Millisecond}, 64<<10)
+			readAll()
+		})
 	})
 }
 
+// slowReader pauses after each read.
+type slowReader struct {
+	io.Reader
+	pause time.Duration
+}
+
+func (r slowReader) Read(b []byte) (int, error) {
+	defer time.Sleep(r.pause)
+	return r.Reader.Read(b)
+}
+
 // TestCloseCutsNoAnswerInTheKernel guards against an answer of which the kernel drops what it has not sent
 // yet: it resets a closed connection when the caller's next statement arrives.
 func TestCloseCutsNoAnswerInTheKernel(t *testing.T) {
