entry: Log connections that the host closes while it owes an answer

What callers saw: connections that ended without an answer, and nothing in the logs or counters of the host that told who closed them, and why.

Change: a warning and the counter callers.cut for each connection that the host itself closes with a running request, bytes of answers not written or messages not handled. The timeout for callers that do not read can be set, so that tests need not wait 30 s. Deployments in one process, for tests of shutdowns, are in internal/tools/host.

TestCutConnectionIsLogged failed before (no counter, no line).

--- /dev/null
+++ b/internal/tools/host/reader_test.go
@@ -0,0 +1,28 @@
+package host_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// TestCutConnectionIsLogged guards against connections that a host closes without a word while it owes
+// an answer.
+func TestCutConnectionIsLogged(t *testing.T) {
+	Convey("A connection that is closed because its caller reads nothing is counted and logged as cut", t, func() {
+		d := startDeployment(t, 1, 10*time.Second)
+		conn, f := d.dialRaw("entry-1")
+		defer conn.Close()
+		send(f, largeQuery)
+		h := d.hosts["entry-1"]
+		d.eventually(readTimeout+5*time.Second, func() error {
+			if n := h.Meter.CounterValue("callers.cut"); n != 1 {
+				return fmt.Errorf("%d connections were cut", n)
+			}
+			return nil
+		})
+		So(h.log.String(), ShouldContainSubstring, "caller connection cut")
+	})
+}
--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -46,8 +46,11 @@
 	Dialer *link.Dialer
 	// Timeout limits the time of a statement, unless the session sets agatespindle.timeout.
 	Timeout time.Duration
-	Log     *logs.Logger
-	Meter   *meter.Meter
+	// ReadTimeout is how long a caller may leave too much of an answer unread before its connection is
+	// closed. Zero means 30 s.
+	ReadTimeout time.Duration
+	Log         *logs.Logger
+	Meter       *meter.Meter
 	// Now returns the current time; tests replace it.
 	Now func() time.Time
 
@@ -110,7 +113,7 @@
 // OnOpen implements gnet.EventHandler.
 func (s *Server) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
 	ctx, cancel := context.WithCancel(s.ctx)
-	sess := &session{srv: s, conn: c, ctx: ctx, cancel: cancel, txStatus: holder.Idle, statementTimeout: s.Timeout}
+	sess := &session{srv: s, conn: c, ctx: ctx, cancel: cancel, openedAt: s.Now(), txStatus: holder.Idle, statementTimeout: s.Timeout}
 	c.SetContext(sess)
 	s.mu.Lock()
 	s.nextPID++
@@ -132,11 +135,14 @@
 }
 
 // OnClose implements gnet.EventHandler.
-func (s *Server) OnClose(c gnet.Conn, _ error) gnet.Action {
+func (s *Server) OnClose(c gnet.Conn, err error) gnet.Action {
 	sess, ok := c.Context().(*session)
 	if !ok {
 		return gnet.None
 	}
+	if err == nil {
+		sess.logCut(s.Now())
+	}
 	s.mu.Lock()
 	delete(s.sessions, sess.pid)
 	if sess.admitted {
--- a/internal/traffic/entry/session.go
+++ b/internal/traffic/entry/session.go
@@ -41,6 +41,10 @@
 	mu     sync.Mutex
 	busy   bool
 	closed bool
+	// openedAt is when the connection was accepted, startedAt when the running request, or the last one,
+	// was started.
+	openedAt  time.Time
+	startedAt time.Time
 	// work is the unit of work of the running request or open transaction, or nil.
 	work unitOfWork
 	// started is set once the startup message has been accepted.
@@ -94,7 +98,7 @@
 
 // startRequest runs one request in a new goroutine. mu must be held.
 func (s *session) startRequest(fn func()) {
-	s.busy = true
+	s.busy, s.startedAt = true, s.srv.Now()
 	s.srv.wg.Add(1)
 	go func() {
 		defer s.srv.wg.Done()
--- a/internal/traffic/entry/session__traffic.go
+++ b/internal/traffic/entry/session__traffic.go
@@ -46,13 +46,15 @@
 		} else {
 			n, act = s.handleStartup(b)
 		}
+		if n > 0 {
+			s.conn.Discard(n)
+		}
 		if act != gnet.None {
 			return act
 		}
 		if n == 0 {
 			return gnet.None
 		}
-		s.conn.Discard(n)
 	}
 	if s.conn.InboundBuffered() > maxBatchBytes+maxStartupBytes {
 		return s.closeWithError(fault.New(fault.NotRun, fault.BadMessage, "too many bytes were sent while a request was running"))
@@ -287,15 +289,15 @@
 const (
 	// maxUnreadBytes is the number of unread bytes above which sending waits for the caller.
 	maxUnreadBytes = 1 << 20
-	// slowReaderTimeout is how long sending waits for a slow caller before it closes the connection.
-	slowReaderTimeout      = 30 * time.Second
+	// defaultReadTimeout applies where Server.ReadTimeout is zero.
+	defaultReadTimeout     = 30 * time.Second
 	slowReaderPollInterval = 10 * time.Millisecond
 )
 
-// waitForReader waits until at most maxUnreadBytes are unread. It closes the connection after
-// slowReaderTimeout.
+// waitForReader waits until at most maxUnreadBytes are unread. It closes the connection after the
+// timeout for readers.
 func (s *session) waitForReader(unread int) error {
-	deadline := time.Now().Add(slowReaderTimeout)
+	deadline := time.Now().Add(s.srv.readTimeout())
 	for unread > maxUnreadBytes {
 		if time.Now().After(deadline) {
 			s.srv.Meter.CountRefusal(fault.SlowReader)
@@ -320,5 +322,13 @@
 	return nil
 }
 
+// readTimeout returns how long sending waits for a caller that does not read.
+func (s *Server) readTimeout() time.Duration {
+	if s.ReadTimeout > 0 {
+		return s.ReadTimeout
+	}
+	return defaultReadTimeout
+}
+
 // priorityClass returns the priority class of the caller.
 func (s *session) priorityClass() spec.Class { return spec.ParseClass(s.callerSpec.Class) }
