entry: End sessions in the event loop, once nothing is owed on them

What callers saw: answers cut by a drain, by an error that ends the session and by their own Terminate message; sessions that send one request after the other stay open until the drain's limit.

Cause: a session was ended from the drain's goroutine, whenever it was found between two requests, and its connection closed right after the error was written. gnet drops what it has not written by then, and the kernel what it has not sent, if unread bytes are left or further ones arrive. A session that always had its next request was passed over by each look, every 20 ms. "Too many bytes" and Terminate closed the connection in the same way, the former also while a request ran.

An ended session takes no further messages; its error follows the answers in the buffer; then the sending side is closed, and the connection once the caller's system has all bytes and 500 ms have passed, in which late messages are discarded. Such messages have their answer: the error says that nothing ran. A part of a request, or a batch without Sync, holds up a drain for a second.

Ruled out: an error that a closed connection swallows on loopback. Linux keeps what was received before a reset, so only answers that the caller's system has not received are lost.

--- a/internal/tools/host/deployment_test.go
+++ b/internal/tools/host/deployment_test.go
@@ -261,32 +261,6 @@
 	return len(b), nil
 }
 
-// readyStatus returns the HTTP status of a host's readiness check.
-func (d *deployment) readyStatus(name string) int {
-	d.t.Helper()
-	resp, err := http.Get("http://" + d.hosts[name].Config.APIAddr + "/readyz")
-	if err != nil {
-		d.t.Fatal(err)
-	}
-	defer resp.Body.Close()
-	return resp.StatusCode
-}
-
-// count returns the number of rows in the table rows.
-func (d *deployment) count(name string) string {
-	d.t.Helper()
-	conn, err := d.connect(name)
-	if err != nil {
-		d.t.Fatal(err)
-	}
-	defer conn.Close(context.Background())
-	r, err := conn.Exec(context.Background(), "SELECT COUNT(*) FROM rows").ReadAll()
-	if err != nil {
-		d.t.Fatal(err)
-	}
-	return string(r[0].Rows[0][0])
-}
-
 // lockedBuffer collects log lines.
 type lockedBuffer struct {
 	mu sync.Mutex
--- a/internal/traffic/entry/cut.go
+++ b/internal/traffic/entry/cut.go
@@ -12,15 +12,18 @@
 func (s *session) logCut(now time.Time) {
 	unsent, unhandled := s.conn.OutboundBuffered(), s.conn.InboundBuffered()
 	s.mu.Lock()
-	busy, startedAt := s.busy, s.startedAt
+	busy, startedAt, ended := s.busy && !s.ended, s.startedAt, s.ended
 	s.mu.Unlock()
 	if !busy && unsent == 0 && unhandled == 0 {
 		return
 	}
 	s.srv.Meter.AddCounter("callers.cut", 1)
-	fields := log.Fields{"caller": s.user, "busy": busy, "unsent": unsent, "unhandled": unhandled, "age": now.Sub(s.openedAt).String()}
+	fields := log.Fields{"caller": s.user, "busy": busy, "ended": ended, "unsent": unsent, "unhandled": unhandled, "age": now.Sub(s.openedAt).String()}
 	if busy {
 		fields["took"] = now.Sub(startedAt).String()
 	}
+	if schedule := s.srv.drainSchedule(); schedule.Active() {
+		fields["draining"] = now.Sub(schedule.Started).String()
+	}
 	s.srv.Log.WithFields(fields).Warn("caller connection cut")
 }
--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/agatespindle/agatespindle/internal/base/logs"
 	"github.com/agatespindle/agatespindle/internal/base/meter"
 	"github.com/agatespindle/agatespindle/internal/control/agent"
+	"github.com/agatespindle/agatespindle/internal/traffic/drain"
 	"github.com/agatespindle/agatespindle/internal/traffic/holder"
 	"github.com/agatespindle/agatespindle/internal/traffic/retry"
 )
@@ -25,8 +26,6 @@
 const (
 	// listenTimeout limits the time to start the listener.
 	listenTimeout = 5 * time.Second
-	// drainPollInterval is the time between two checks for idle sessions while draining.
-	drainPollInterval = 20 * time.Millisecond
 	// retryBudgetRatio is the number of retries that a caller's budget gains per request;
 	// retryBudgetMax is the maximum number of retries that the budget holds.
 	retryBudgetRatio = 0.2
@@ -46,8 +45,8 @@
 	Dialer *link.Dialer
 	// Timeout limits the time of a statement, unless the session sets agatespindle.timeout.
 	Timeout time.Duration
-	// ReadTimeout is how long a caller may leave too much of an answer unread before its connection is
-	// closed. Zero means 30 s.
+	// ReadTimeout is how long a caller may read nothing of an answer before its connection is closed.
+	// Zero means 30 s.
 	ReadTimeout time.Duration
 	Log         *logs.Logger
 	Meter       *meter.Meter
@@ -58,13 +57,16 @@
 	engine gnet.Engine
 	// listening is closed once the listener has started.
 	listening chan struct{}
-	draining  atomic.Bool
-	// mu guards sessions, callers and nextPID.
+	// schedule is nil if the host does not drain.
+	schedule atomic.Pointer[drain.Schedule]
+	// mu guards sessions, ending, callers and nextPID.
 	mu       sync.Mutex
 	sessions map[uint32]*session
-	callers  map[string]*callerState
-	nextPID  uint32
-	wg       sync.WaitGroup
+	// ending are the sessions that have ended and whose connections are still open.
+	ending  map[uint32]*session
+	callers map[string]*callerState
+	nextPID uint32
+	wg      sync.WaitGroup
 }
 
 var _ gnet.EventHandler = (*Server)(nil)
@@ -82,12 +84,13 @@
 	s.ctx = ctx
 	s.listening = make(chan struct{})
 	s.sessions = map[uint32]*session{}
+	s.ending = map[uint32]*session{}
 	s.callers = map[string]*callerState{}
 	listenErr := make(chan error, 1)
 	done := make(chan error, 1)
 	go func() {
 		err := gnet.Run(s, "tcp://"+s.Addr, gnet.WithMulticore(true), gnet.WithReuseAddr(true),
-			gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithLogger(logs.EngineLogger{Log: s.Log}))
+			gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithTicker(true), gnet.WithLogger(logs.EngineLogger{Log: s.Log}))
 		listenErr <- err
 		s.wg.Wait()
 		done <- err
@@ -131,7 +134,7 @@
 
 // OnTraffic implements gnet.EventHandler.
 func (s *Server) OnTraffic(c gnet.Conn) gnet.Action {
-	return c.Context().(*session).handleInbound()
+	return c.Context().(*session).handleInbound(s.Now())
 }
 
 // OnClose implements gnet.EventHandler.
@@ -143,14 +146,15 @@
 	if err == nil {
 		sess.logCut(s.Now())
 	}
+	sess.handleClose()
 	s.mu.Lock()
 	delete(s.sessions, sess.pid)
+	delete(s.ending, sess.pid)
 	if sess.admitted {
 		s.callers[sess.user].connections--
 	}
 	s.mu.Unlock()
 	s.Meter.AddCounter("callers.closed", 1)
-	sess.handleClose()
 	return gnet.None
 }
 
@@ -208,30 +212,6 @@
 	}()
 }
 
-// Drain stops admitting sessions and closes each existing one as soon as it is idle. It returns
-// when none is left or ctx ends.
-func (s *Server) Drain(ctx context.Context) {
-	s.draining.Store(true)
-	for ctx.Err() == nil {
-		s.mu.Lock()
-		open := make([]*session, 0, len(s.sessions))
-		for _, sess := range s.sessions {
-			open = append(open, sess)
-		}
-		s.mu.Unlock()
-		if len(open) == 0 {
-			return
-		}
-		for _, sess := range open {
-			sess.closeIfIdle()
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(drainPollInterval):
-		}
-	}
-}
-
 // Sessions returns the number of open connections.
 func (s *Server) Sessions() int {
 	s.mu.Lock()
--- a/internal/traffic/entry/session.go
+++ b/internal/traffic/entry/session.go
@@ -41,10 +41,18 @@
 	mu     sync.Mutex
 	busy   bool
 	closed bool
-	// openedAt is when the connection was accepted, startedAt when the running request, or the last one,
-	// was started.
-	openedAt  time.Time
+	// openedAt is when the connection was accepted. used is set once it has carried a request.
+	openedAt time.Time
+	used     bool
+	// startedAt is when the running request, or the last one, was started.
 	startedAt time.Time
+	// partialBytes is the size of the messages that wait for the end of a request, partialSince when the
+	// last of them arrived.
+	partialBytes int
+	partialSince time.Time
+	// failure, if set, ends the session once the running request has been answered.
+	failure *fault.Error
+	ending
 	// work is the unit of work of the running request or open transaction, or nil.
 	work unitOfWork
 	// started is set once the startup message has been accepted.
@@ -98,7 +106,7 @@
 
 // startRequest runs one request in a new goroutine. mu must be held.
 func (s *session) startRequest(fn func()) {
-	s.busy, s.startedAt = true, s.srv.Now()
+	s.busy, s.used, s.startedAt = true, true, s.srv.Now()
 	s.srv.wg.Add(1)
 	go func() {
 		defer s.srv.wg.Done()
@@ -114,7 +122,7 @@
 	s.busy = false
 	closed := s.closed
 	var w unitOfWork
-	if closed {
+	if closed || s.ended {
 		w = s.work
 		s.work = nil
 	}
@@ -138,29 +146,6 @@
 	}
 }
 
-// closeIfIdle closes the session with a FATAL error response if no request, batch or transaction
-// is open.
-func (s *session) closeIfIdle() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.busy || s.closed || s.txStatus != holder.Idle || len(s.pendingBatch) > 0 {
-		return
-	}
-	s.closed = true
-	e := fault.New(fault.NotRun, fault.Draining, "host %s is shutting down", s.srv.Host).WithHint("reconnect; another host will serve you")
-	s.sendFatal(e)
-}
-
-// sendFatal sends a FATAL error response and closes the connection once it is written.
-func (s *session) sendFatal(e *fault.Error) {
-	s.srv.Meter.CountRefusal(e.Reason)
-	b, err := errorResponse(e, "FATAL").Encode(nil)
-	if err != nil {
-		b = nil
-	}
-	_ = s.conn.AsyncWrite(b, func(c gnet.Conn, _ error) error { return c.Close() })
-}
-
 // setWork sets the unit of work that requests run on.
 func (s *session) setWork(w unitOfWork) {
 	s.mu.Lock()
--- a/internal/traffic/entry/session__traffic.go
+++ b/internal/traffic/entry/session__traffic.go
@@ -34,10 +34,10 @@
 
 // handleInbound handles the messages that have arrived, until one starts a request. It runs on
 // the event loop and must not block.
-func (s *session) handleInbound() gnet.Action {
+func (s *session) handleInbound(now time.Time) gnet.Action {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for !s.busy && !s.closed {
+	for !s.busy && !s.closed && !s.ended && s.failure == nil {
 		b, _ := s.conn.Peek(-1)
 		var n int
 		var act gnet.Action
@@ -53,19 +53,15 @@
 			return act
 		}
 		if n == 0 {
-			return gnet.None
+			break
 		}
 	}
-	if s.conn.InboundBuffered() > maxBatchBytes+maxStartupBytes {
-		return s.closeWithError(fault.New(fault.NotRun, fault.BadMessage, "too many bytes were sent while a request was running"))
-	}
-	return gnet.None
+	return s.endIfDue(now)
 }
 
 // closeWithError sends a FATAL error response and closes the connection.
 func (s *session) closeWithError(e *fault.Error) gnet.Action {
-	s.closed = true
-	s.sendFatal(e)
+	s.end(e)
 	return gnet.None
 }
 
@@ -125,7 +121,7 @@
 	if s.database == "" {
 		s.database = s.user
 	}
-	if s.srv.draining.Load() {
+	if s.srv.Draining() {
 		return fault.New(fault.NotRun, fault.Draining, "host %s is shutting down", s.srv.Host)
 	}
 	if !s.srv.Agent.LeaseValid(s.srv.Now()) {
@@ -225,7 +221,7 @@
 	case 'F': // FunctionCall
 		s.startRequest(func() { s.replyError(unsupported("function calls")) })
 	case 'X': // Terminate
-		return size, gnet.Close
+		s.end(nil)
 	case 'd', 'c', 'f': // CopyData, CopyDone, CopyFail: ignored, since COPY is not supported
 	default:
 		return 0, s.closeWithError(fault.New(fault.NotRun, fault.BadMessage, "unknown message type %q", kind))
@@ -267,7 +263,7 @@
 	}
 	written := make(chan int, 1)
 	data := append([]byte(nil), b...)
-	err := s.conn.AsyncWrite(data, func(c gnet.Conn, err error) error {
+	err := s.write(data, func(c gnet.Conn, err error) error {
 		n := 0
 		if err == nil {
 			n = c.OutboundBuffered()
@@ -294,8 +290,8 @@
 	slowReaderPollInterval = 10 * time.Millisecond
 )
 
-// waitForReader waits until at most maxUnreadBytes are unread. It closes the connection after the
-// timeout for readers.
+// waitForReader waits until at most maxUnreadBytes are unread. It closes the connection if the caller
+// stops reading.
 func (s *session) waitForReader(unread int) error {
 	deadline := time.Now().Add(s.srv.readTimeout())
 	for unread > maxUnreadBytes {
@@ -322,7 +318,21 @@
 	return nil
 }
 
-// readTimeout returns how long sending waits for a caller that does not read.
+// readProgress tells a caller that reads slowly from one that has stopped.
+type readProgress struct {
+	unread int
+	since  time.Time
+}
+
+// stalled records the number of unread bytes, and reports whether none has been read for timeout.
+func (p *readProgress) stalled(now time.Time, unread int, timeout time.Duration) bool {
+	if p.since.IsZero() || unread < p.unread {
+		p.unread, p.since = unread, now
+	}
+	return now.Sub(p.since) > timeout
+}
+
+// readTimeout returns how long a caller may read nothing of an answer.
 func (s *Server) readTimeout() time.Duration {
 	if s.ReadTimeout > 0 {
 		return s.ReadTimeout
