entry: Answer what runs at the limit of a drain, refuse what might

What callers saw: requests and open transactions that reached the limit of a drain ended with the connection, without any answer; requests were started shortly before the limit and cut there.

Cause: the drain left them to the stop of the server, which cancels the sessions and closes their connections.

Open transactions may continue for the first half of the drain; then the session ends between two requests, told as not run, which is true since nothing was committed. A request that still runs at the limit for answers is answered with 40003, MayHaveRun, which also ends the session; then its execution is given up.

--- a/internal/traffic/entry/drain.go
+++ b/internal/traffic/entry/drain.go
@@ -6,6 +6,7 @@
 
 	"github.com/panjf2000/gnet/v2"
 
+	"github.com/agatespindle/agatespindle/internal/base/fault"
 	"github.com/agatespindle/agatespindle/internal/traffic/drain"
 )
 
@@ -14,22 +15,26 @@
 	drainPollInterval = 20 * time.Millisecond
 	// maxDrain is the length of a drain without a limit.
 	maxDrain = time.Hour
+	// transactionDivisor sets the part of a drain in which open transactions may continue: its first half.
+	transactionDivisor = 2
 )
 
-// Drain stops admitting sessions and ends the existing ones by the rules of package drain. It returns when
-// no connection is left or ctx ends.
+// Drain stops admitting sessions and ends the existing ones by the rules of package drain. Requests that
+// still run shortly before ctx ends are answered as possibly run. It returns when no connection is left
+// or ctx ends.
 func (s *Server) Drain(ctx context.Context) {
 	length := maxDrain
 	if deadline, ok := ctx.Deadline(); ok {
 		length = time.Until(deadline)
 	}
 	now := s.Now()
-	schedule := drain.New(now, 0, length, now.Add(length))
+	schedule := drain.New(now, 0, length/transactionDivisor, now.Add(length))
 	s.schedule.Store(&schedule)
 	s.Log.WithField("sessions", s.Sessions()).Info("draining caller connections")
 	for ctx.Err() == nil && s.Sessions() > 0 {
+		overdue := schedule.Overdue(s.Now())
 		for _, sess := range s.listSessions() {
-			sess.drain()
+			sess.drain(overdue)
 		}
 		select {
 		case <-ctx.Done():
@@ -76,12 +81,35 @@
 	return endingPollInterval, gnet.None
 }
 
-// drain has the session ended if it is idle.
-func (s *session) drain() {
+// drain has the session ended if that is due: if it is idle, or at once if it is overdue.
+func (s *session) drain(overdue bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.busy && !s.closed && !s.ended {
+	switch {
+	case s.closed || s.ended:
+	case overdue && s.busy:
+		s.end(s.drainError(fault.MayHaveRun))
+		s.cancel()
+	case overdue:
+		s.end(s.drainError(fault.NotRun))
+	case !s.busy:
 		// The event loop alone knows whether all answers have been sent.
 		_ = s.conn.Wake(nil)
 	}
 }
+
+// starts reports whether a request is started: a host that drains refuses those that it might have to cut.
+func (s *session) starts(now time.Time, beginsTransaction bool) bool {
+	schedule := s.srv.drainSchedule()
+	if beginsTransaction && !schedule.StartsTransaction(now) {
+		return false
+	}
+	return schedule.StartsRequest(now, s.statementTimeout)
+}
+
+// endDrained ends the session in place of the answer to a request that is not started.
+func (s *session) endDrained() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.end(s.drainError(fault.NotRun))
+}
--- a/internal/traffic/entry/session__extended.go
+++ b/internal/traffic/entry/session__extended.go
@@ -87,7 +87,7 @@
 	}
 	eb.classify()
 	filter := &parseCompleteFilter{injected: eb.injectedParses, out: eb.s.forward}
-	eb.s.dispatch(b, !eb.beginsTransaction, filter.write)
+	eb.s.dispatch(b, eb.beginsTransaction, filter.write)
 }
 
 // classify sets from the bound statements whether the batch may run on a replica, commits,
--- a/internal/traffic/entry/session__run.go
+++ b/internal/traffic/entry/session__run.go
@@ -37,7 +37,7 @@
 		return
 	}
 	b := &wire.Batch{Data: data, Mayread: st.MayRunOnReplica(), Commits: st.MayEndTransaction(), Dirty: st.MayChangeSettings()}
-	s.dispatch(b, st.Kind != stmt.Begin, s.forward)
+	s.dispatch(b, st.Kind == stmt.Begin, s.forward)
 }
 
 // forward sends a response of the backend server to the caller unchanged.
@@ -68,9 +68,13 @@
 }
 
 // dispatch runs a batch on the group's holder and sends the response or the error to the caller.
-// If acceptsKey is set and the batch may write, it consumes the idempotency key.
-func (s *session) dispatch(b *wire.Batch, acceptsKey bool, sink holder.Sink) {
-	if acceptsKey && !b.Mayread {
+// A batch that may write and does not begin a transaction consumes the idempotency key.
+func (s *session) dispatch(b *wire.Batch, beginsTransaction bool, sink holder.Sink) {
+	if !s.starts(s.srv.Now(), beginsTransaction) {
+		s.endDrained()
+		return
+	}
+	if !beginsTransaction && !b.Mayread {
 		b.Key = s.idempotencyKey
 		s.idempotencyKey = ""
 	}
