host: Hand over groups after a drain of callers, wait for forwarded requests

What callers saw: a request of another host that ran longer than 2 s was given up when the group's holder shut down, with "connection to the holder was lost"; and when callers had used up a drain, their groups stayed with the stopped host until its lease ran out.

Cause: the group's pool lets go of its work 2 s after the group has moved; the host then stopped although such work still ran. And the callers' part of a drain lasted until its limit, so that nothing was left for the hand-over and the host's leave.

Fix: a host waits, within its drain, until the requests that others have forwarded to it are answered: outside of a transaction until the other host has closed the stream, so that it has the answer. 3 s of a drain, at most a quarter, are kept for this and the hand-over.

--- a/internal/tools/host/host.go
+++ b/internal/tools/host/host.go
@@ -41,6 +41,14 @@
 	ServiceAPI     = "api"
 )
 
+const (
+	// handOverReserve is the part of a drain that is kept for handing over groups, after the callers'
+	// connections have been closed: open transactions may continue for 2 s.
+	handOverReserve = 3 * time.Second
+	// handOverReserveDivisor bounds handOverReserve in short drains.
+	handOverReserveDivisor = 4
+)
+
 // ProxyUser is the user name with which the proxy connects to backend servers.
 const ProxyUser = "agatespindle"
 
@@ -193,7 +201,7 @@
 	}
 	k.Register(kernel.Service{Name: ServiceAPI, Value: srv, Start: startFunc(srv.Run)})
 	if h.Entry != nil {
-		k.Register(kernel.Service{Name: ServiceEntry, Value: h.Entry, Start: h.Entry.Run, Drain: h.Entry.Drain})
+		k.Register(kernel.Service{Name: ServiceEntry, Value: h.Entry, Start: h.Entry.Run, Drain: h.drainCallers})
 	}
 }
 
@@ -228,18 +236,32 @@
 // ready reports whether callers may be sent to this host: its lease is valid and it is not draining.
 func (h *Host) ready(now time.Time) bool { return h.Agent.LeaseValid(now) && !h.Agent.Draining() }
 
-// handOverGroups waits until other entry hosts have taken over the groups that this host holds. It
-// returns early if there is no such host, the lease expires or ctx ends.
+// drainCallers drains the entry server. It keeps a part of the time for handing over the groups.
+func (h *Host) drainCallers(ctx context.Context) {
+	if deadline, ok := ctx.Deadline(); ok {
+		left := time.Until(deadline)
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, left-min(handOverReserve, left/handOverReserveDivisor))
+		defer cancel()
+	}
+	h.Entry.Drain(ctx)
+}
+
+// handOverGroups waits until other entry hosts have taken over the groups that this host holds, unless
+// there is no such host or the lease expires, and until the requests that other hosts have forwarded
+// here have been answered. It returns early if ctx ends.
 func (h *Host) handOverGroups(ctx context.Context) {
 	h.Agent.Drain()
-	for ctx.Err() == nil && h.hasOtherEntryHosts() && h.Agent.LeaseValid(time.Now()) {
-		if h.Holder.Idle() && h.groupsReleased() {
-			return
-		}
+	for ctx.Err() == nil && (h.Holder.Forwarded() > 0 || !h.handedOver(time.Now())) {
 		clock.Sleep(ctx, 20*time.Millisecond)
 	}
 }
 
+// handedOver reports whether other hosts have taken over the groups that this host holds, or cannot.
+func (h *Host) handedOver(now time.Time) bool {
+	return !h.hasOtherEntryHosts() || !h.Agent.LeaseValid(now) || h.Holder.Idle() && h.groupsReleased()
+}
+
 // groupsReleased reports whether no group lists this host as its current or a previous holder.
 func (h *Host) groupsReleased() bool {
 	for _, r := range h.Agent.View().List(spec.Groups) {
--- a/internal/traffic/holder/holder.go
+++ b/internal/traffic/holder/holder.go
@@ -7,6 +7,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/agatespindle/agatespindle/internal/backend/adapt"
@@ -60,7 +61,9 @@
 	pools    map[string]*pool
 	observed map[string]*observedPrimary
 	limiters map[string]*rateLimiter
-	wg       sync.WaitGroup
+	// forwarded is the number of requests of other hosts that have not been answered.
+	forwarded atomic.Int64
+	wg        sync.WaitGroup
 }
 
 // observedPrimary is a primary that this host probes without holding its group.
@@ -320,3 +323,7 @@
 	defer h.mu.Unlock()
 	return len(h.pools) == 0
 }
+
+// Forwarded returns the number of requests of other hosts that have not been answered. A request outside
+// of a transaction counts until the other host has received the answer.
+func (h *Holder) Forwarded() int { return int(h.forwarded.Load()) }
--- a/internal/traffic/holder/remote.go
+++ b/internal/traffic/holder/remote.go
@@ -33,12 +33,15 @@
 			w.Close()
 		}
 	}()
+	request := forwardedRequest{h: h}
+	defer request.setOpen(false)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-cancels:
 		case b := <-batches:
+			request.setOpen(true)
 			if w == nil {
 				var err error
 				if w, err = h.Open(h.Now(), req); err != nil {
@@ -51,10 +54,28 @@
 			if serveBatch(ctx, w, b, c, cancels) != nil {
 				return
 			}
+			// Outside of a transaction the other host closes the stream when it has the answer.
+			request.setOpen(w.conn == nil)
 		}
 	}
 }
 
+// forwardedRequest counts the request of a stream while it has not been answered.
+type forwardedRequest struct {
+	h    *Holder
+	open bool
+}
+
+func (r *forwardedRequest) setOpen(open bool) {
+	switch {
+	case open && !r.open:
+		r.h.forwarded.Add(1)
+	case !open && r.open:
+		r.h.forwarded.Add(-1)
+	}
+	r.open = open
+}
+
 // receiveBatches reads from the stream until it ends. Cancel requests go to their own channel, so
 // that they get through while a batch runs.
 func receiveBatches(ctx context.Context, c *link.Conn, batches chan<- *wire.Batch, cancels chan<- struct{}) {
