host: Report a host as not ready from the start of its drain

What callers saw: balancers that watch /readyz went on sending them to a host that refused them with 57P01, as long as one of its sessions was open.

Cause: readiness ended with the hand-over of groups, which follows the drain of the callers.

Fix: a host whose entry server drains is not ready.

TestReadinessEndsWithTheStartOfADrain failed before (200 during the drain).

--- a/internal/tools/host/handover_test.go
+++ b/internal/tools/host/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"time"
 
@@ -80,6 +81,26 @@
 	})
 }
 
+// TestReadinessEndsWithTheStartOfADrain guards against balancers that send callers to a host which refuses
+// them.
+func TestReadinessEndsWithTheStartOfADrain(t *testing.T) {
+	Convey("A host that drains is not ready from the start", t, func() {
+		d := startDeployment(t, 2, 5*time.Second)
+		holder, _ := d.holder()
+		conn, err := d.connect(holder)
+		So(err, ShouldBeNil)
+		defer conn.Close(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- exec(conn, "SELECT 1 /* wait 1s */") }()
+		time.Sleep(100 * time.Millisecond)
+		took := d.shutDown(holder)
+		time.Sleep(200 * time.Millisecond)
+		So(d.readyStatus(holder), ShouldEqual, 503)
+		So(<-done, ShouldBeNil)
+		<-took
+	})
+}
+
 // TestRequestsAreAnsweredWhenTheLeaseLapsesInADrain guards against requests that end without an answer
 // because control is gone while the host drains.
 func TestRequestsAreAnsweredWhenTheLeaseLapsesInADrain(t *testing.T) {
@@ -105,3 +126,14 @@
 		}
 	})
 }
+
+// readyStatus returns the HTTP status of a host's readiness check.
+func (d *deployment) readyStatus(name string) int {
+	d.t.Helper()
+	resp, err := http.Get("http://" + d.hosts[name].Config.APIAddr + "/readyz")
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
--- a/internal/tools/host/host.go
+++ b/internal/tools/host/host.go
@@ -234,7 +234,10 @@
 }
 
 // ready reports whether callers may be sent to this host: its lease is valid and it is not draining.
-func (h *Host) ready(now time.Time) bool { return h.Agent.LeaseValid(now) && !h.Agent.Draining() }
+func (h *Host) ready(now time.Time) bool {
+	draining := h.Agent.Draining() || h.Entry != nil && h.Entry.Draining()
+	return h.Agent.LeaseValid(now) && !draining
+}
 
 // drainCallers drains the entry server. It keeps a part of the time for handing over the groups.
 func (h *Host) drainCallers(ctx context.Context) {
