cmds: Let SIGHUP drain a host, also during a drain

What callers saw: a SIGHUP, for instance of a terminal that closes or of an operator who expects a reload, cut all requests of the host at once, also in a drain.

Cause: only SIGINT and SIGTERM were handled; the default action of SIGHUP ends the process.

Fix: SIGHUP ends a command as the others do: a host drains. Under nohup it stays ignored.

--- a/internal/tools/cmds/cmds.go
+++ b/internal/tools/cmds/cmds.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -54,7 +55,7 @@
 
 // rootCommand holds all subcommands. Each has a type of its own for its options.
 type rootCommand struct {
-	Run     runCommand     `command:"run" description:"Run this host's roles" long-description:"Runs the host that the settings describe, until SIGINT or SIGTERM; then it drains.\n\nExample: agatespindle run --config /etc/agatespindle.json"`
+	Run     runCommand     `command:"run" description:"Run this host's roles" long-description:"Runs the host that the settings describe, until SIGINT, SIGTERM or SIGHUP; then it drains.\n\nExample: agatespindle run --config /etc/agatespindle.json"`
 	Check   checkCommand   `command:"check" description:"Check a settings file" long-description:"Lists every mistake with line and column; exit code 2 if there is one.\n\nExample: agatespindle check /etc/agatespindle.json"`
 	Get     getCommand     `command:"get" description:"Show resources" long-description:"Kinds: services, groups, callers, backendservers, hosts.\n\nExamples:\n  agatespindle get groups\n  agatespindle get groups parts-ledger -o json"`
 	Apply   applyCommand   `command:"apply" description:"Declare resources from a file" long-description:"The file holds one resource or a list, as JSON with comments; - reads standard input. A version in it is the one that the change expects.\n\nExample: agatespindle apply --wait groups.json"`
@@ -67,10 +68,21 @@
 	Version versionCommand `command:"version" description:"Show version and build" long-description:"Example: agatespindle version -o json"`
 }
 
+// stopSignals returns the signals that end a command. A process that was started with SIGHUP ignored, as by
+// nohup, goes on ignoring it.
+func stopSignals() []os.Signal {
+	list := []os.Signal{syscall.SIGINT, syscall.SIGTERM}
+	if !signal.Ignored(syscall.SIGHUP) {
+		list = append(list, syscall.SIGHUP)
+	}
+	return list
+}
+
 // Execute runs the command line in args, without the program name, until it ends or the process
-// gets SIGINT or SIGTERM. It prints any error to stderr and returns the exit code.
+// gets one of the signals that end it; further ones have no effect. It prints any error to stderr and
+// returns the exit code.
 func Execute(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	ctx, stop := signal.NotifyContext(context.Background(), stopSignals()...)
 	defer stop()
 	e := &env{ctx: ctx, stdin: stdin, stdout: stdout, stderr: stderr}
 	r := &rootCommand{}
