entry: Count the timeout for readers from the last byte that was read

What callers saw: a caller that read steadily lost the rest of a large answer 30 s after a part of more than 1 MiB had been passed on.

Cause: the timeout counted until the part was read, not while nothing was.

Fix: each byte that is read starts it anew, as for the last answer of an ended session.

TestSlowReadersGetLargeAnswers failed before (cut after 1 s, the timeout of the test).

--- a/internal/tools/host/reader_test.go
+++ b/internal/tools/host/reader_test.go
@@ -26,3 +26,17 @@
 		So(h.log.String(), ShouldContainSubstring, "caller connection cut")
 	})
 }
+
+// TestSlowReadersGetLargeAnswers guards against a timeout for callers that do not read, counted for the
+// whole answer.
+func TestSlowReadersGetLargeAnswers(t *testing.T) {
+	Convey("A caller that reads steadily gets an answer that takes longer than the timeout for readers", t, func() {
+		d := startDeployment(t, 1, 10*time.Second)
+		conn, f := d.dialRaw("entry-1")
+		defer conn.Close()
+		send(f, "SELECT printf('%.50331648c', 'x')")
+		started := time.Now()
+		So(readAnswer(f), ShouldResemble, answer{bytes: 48 << 20})
+		So(time.Since(started), ShouldBeGreaterThan, readTimeout)
+	})
+}
--- a/internal/traffic/entry/session__traffic.go
+++ b/internal/traffic/entry/session__traffic.go
@@ -293,9 +293,9 @@
 // waitForReader waits until at most maxUnreadBytes are unread. It closes the connection if the caller
 // stops reading.
 func (s *session) waitForReader(unread int) error {
-	deadline := time.Now().Add(s.srv.readTimeout())
+	var progress readProgress
 	for unread > maxUnreadBytes {
-		if time.Now().After(deadline) {
+		if progress.stalled(s.srv.Now(), unread, s.srv.readTimeout()) {
 			s.srv.Meter.CountRefusal(fault.SlowReader)
 			_ = s.conn.Close()
 			return fault.New(fault.Ran, fault.SlowReader, "caller did not read the response in time")
