--- a/internal/tools/node/node.go
+++ b/internal/tools/node/node.go
@@ -102,6 +102,7 @@
 	cfg := opt.Settings
 	n := &Node{opt: opt, cfg: cfg, Meter: meter.New(), dialer: &link.Dialer{Host: cfg.Host, Timeout: linkDialTimeout, Dial: opt.Dial}}
 	n.Log = logs.New(logs.Options{Out: opt.Log, Host: cfg.Host, Roles: n.roles(), Level: opt.Level})
+	n.dialer.OnSilent = n.recordSilentHost
 	n.Kernel = &kernel.Kernel{DrainLimit: cfg.GracePeriod() - stopMargin, StopLimit: stopMargin}
 	ln, err := net.Listen("tcp", cfg.LinkAddr())
 	if err != nil {
@@ -174,18 +175,29 @@
 	return func(ctx context.Context) (<-chan error, error) { return run(ctx), nil }
 }
 
+// recordSilentHost logs a connection to another host that was closed with its streams.
+func (n *Node) recordSilentHost(addr string, streams int) {
+	n.Meter.AddCounter("link.silent", 1)
+	n.Log.WithField("addr", addr).WithField("streams", streams).Warn("connection to a silent host closed")
+}
+
 // startLink accepts connections from other hosts; outgoing ones are closed when ctx ends.
 func (n *Node) startLink(ctx context.Context) (<-chan error, error) {
 	context.AfterFunc(ctx, n.dialer.Close)
 	return n.links.Run(ctx), nil
 }
 
-// beginDrain is the first step of a shutdown: it fails the load balancer's readiness check and
-// tells the hosts that borrow this host's connections.
-func (n *Node) beginDrain(context.Context) {
+// beginDrain is the first step of a shutdown: it fails the load balancer's readiness check, stops
+// lending connections and tells the hosts that borrow them. A control host leaves the quorum
+// meanwhile: what runs on lent connections may take most of the drain.
+func (n *Node) beginDrain(ctx context.Context) {
 	n.draining.Store(true)
+	n.traffic.stopLending(ctx)
 	n.Agent.Drain()
 	n.Log.Info("shutdown requested; draining")
+	if n.control != nil {
+		n.control.left = n.control.startLeaving(ctx)
+	}
 }
 
 // leave removes this host from control's list of hosts, so that no failover waits for its lease to
