--- a/internal/tools/node/drain_integration_test.go
+++ b/internal/tools/node/drain_integration_test.go
@@ -59,8 +59,9 @@
 	*exec.Cmd
 	addr  string
 	ended chan struct{}
-	// err is the result of the process, once ended is closed.
-	err error
+	// err is the result of the process and endedAt the time of its end, once ended is closed.
+	err     error
+	endedAt time.Time
 }
 
 // startProcess starts entry host i as a process.
@@ -75,7 +76,7 @@
 	p := &process{Cmd: exec.Command(binary, "run", "--config", path), addr: c.callerAddr(i), ended: make(chan struct{})}
 	So(p.Start(), ShouldBeNil)
 	go func() {
-		p.err = p.Wait()
+		p.err, p.endedAt = p.Wait(), time.Now()
 		close(p.ended)
 	}()
 	c.t.Cleanup(func() {
@@ -312,7 +313,7 @@
 			time.Sleep(2700 * time.Millisecond)
 			ws.connectDuring(p.addr, "late", 150*time.Millisecond, started.Add(drainLimit), "WRITE slow 1")
 			<-p.ended
-			ended, cut := time.Since(started), ws.wait()
+			ended, cut := p.endedAt.Sub(started), ws.wait()
 			t.Logf("%d callers, %d statements answered, %d not, process ended %s after SIGTERM: %v", ws.started, ws.served, ws.unanswered, ended, p.err)
 			So(cut, ShouldBeNil)
 			So(p.err, ShouldBeNil)
@@ -346,7 +347,7 @@
 			}
 			for _, p := range processes {
 				<-p.ended
-				t.Logf("process ended %s after SIGTERM: %v", time.Since(started), p.err)
+				t.Logf("process ended %s after SIGTERM: %v", p.endedAt.Sub(started), p.err)
 				So(p.err, ShouldBeNil)
 			}
 			So(ws.wait(), ShouldBeNil)
@@ -368,7 +369,7 @@
 				ws.run(p.addr, fmt.Sprint("end", n), 1, true, "WRITE quick 1")
 				time.Sleep(3 * time.Millisecond)
 			}
-			ended, cut := time.Since(started), ws.wait()
+			ended, cut := p.endedAt.Sub(started), ws.wait()
 			t.Logf("%d callers, %d statements answered, %d not, process ended %s after SIGTERM: %v", ws.started, ws.served, ws.unanswered, ended, p.err)
 			So(cut, ShouldBeNil)
 			So(p.err, ShouldBeNil)
@@ -409,7 +410,7 @@
 			for i := range 3 {
 				delete(c.running, fmt.Sprint("core-", i))
 			}
-			ended, cut := time.Since(started), ws.wait()
+			ended, cut := p.endedAt.Sub(started), ws.wait()
 			t.Logf("%d callers, %d statements answered, %d not, process ended %s after SIGTERM: %v", ws.started, ws.served, ws.unanswered, ended, p.err)
 			So(cut, ShouldBeNil)
 		})
@@ -483,7 +484,7 @@
 			started := time.Now()
 			So(p.Process.Signal(syscall.SIGTERM), ShouldBeNil)
 			<-p.ended
-			t.Logf("process ended %s after SIGTERM: %v", time.Since(started), p.err)
+			t.Logf("process ended %s after SIGTERM: %v", p.endedAt.Sub(started), p.err)
 			var errs []error
 			for range cap(results) {
 				errs = append(errs, <-results)
@@ -510,3 +511,65 @@
 		time.Sleep(pause)
 	}
 }
+
+// TestShutdownCutsNoLargeAnswer covers answers larger than the buffers of both sockets to callers that read
+// slowly while the host drains.
+func TestShutdownCutsNoLargeAnswer(t *testing.T) {
+	t.Parallel()
+	Convey("Given a process with callers that read slowly", t, func() {
+		c, processes := startDrainCluster(t, 1)
+		p := processes[0]
+		const callers = 6
+		results := make(chan error, callers)
+		for i := range callers {
+			w, err := c.watch(p.addr, fmt.Sprint("large", i))
+			So(err, ShouldBeNil)
+			defer w.Close()
+			_, err = w.startup()
+			So(err, ShouldBeNil)
+			go func() {
+				time.Sleep(time.Duration(i) * 300 * time.Millisecond)
+				results <- w.readSlowly(i%3, "READ large:8000")
+			}()
+		}
+		Convey("A SIGTERM cuts no answer, with or without further queries sent ahead", func() {
+			started := time.Now()
+			So(p.Process.Signal(syscall.SIGTERM), ShouldBeNil)
+			var errs []error
+			for range callers {
+				errs = append(errs, <-results)
+			}
+			<-p.ended
+			t.Logf("process ended %s after SIGTERM: %v", p.endedAt.Sub(started), p.err)
+			So(errors.Join(errs...), ShouldBeNil)
+			So(p.err, ShouldBeNil)
+		})
+	})
+}
+
+// readSlowly sends a query and that many further ones during the answer, and reads the answers slowly. It
+// returns those that were cut.
+func (w *watcher) readSlowly(ahead int, text string) error {
+	w.r = bufio.NewReaderSize(pausingReader{w, 10 * time.Millisecond}, 64<<10)
+	if _, err := fmt.Fprint(w, w.line(text)); err != nil {
+		return w.cut(err)
+	}
+	for i := range ahead {
+		time.AfterFunc(time.Duration(i+1)*300*time.Millisecond, func() { fmt.Fprintf(w, "QUERY %s-next%d WRITE quick 1\r\n", w.name, i) })
+	}
+	if err := w.await(); err != nil {
+		return w.cut(err)
+	}
+	return nil
+}
+
+// pausingReader pauses after each read.
+type pausingReader struct {
+	io.Reader
+	pause time.Duration
+}
+
+func (r pausingReader) Read(b []byte) (int, error) {
+	defer time.Sleep(r.pause)
+	return r.Reader.Read(b)
+}
