front, entry: Cut a caller that does not read by its last progress

What callers saw: an answer of 12 MiB cut though the caller read it all the time, since a part of its next message had arrived and not the rest of it.

Cause: a connection that is to be closed after its last answer was given a fixed time for that. Now it is the time since the caller last read anything, as on the PostgreSQL path; one type for both (drain.Progress).

--- a/internal/traffic/entry/session__end.go
+++ b/internal/traffic/entry/session__end.go
@@ -36,7 +36,7 @@
 	written bool
 	// shutAt is when the last byte was sent and the sending side of the connection closed, or zero.
 	shutAt   time.Time
-	progress readProgress
+	progress drain.Progress
 }
 
 // end ends the session with a FATAL error response, or without one if e is nil. mu must be held.
@@ -137,7 +137,7 @@
 func (s *session) closeWhenSent(now time.Time) gnet.Action {
 	unsent, unacknowledged := s.conn.OutboundBuffered(), s.unacknowledged()
 	switch {
-	case s.progress.stalled(now, unsent+unacknowledged, max(s.srv.readTimeout(), lingerTime)):
+	case s.progress.Stalled(now, unsent+unacknowledged, max(s.srv.readTimeout(), lingerTime)):
 		return gnet.Close
 	case !s.written || unsent > 0:
 		return gnet.None
--- a/internal/traffic/entry/session__traffic.go
+++ b/internal/traffic/entry/session__traffic.go
@@ -11,6 +11,7 @@
 	"github.com/agatespindle/agatespindle/internal/backend/adapt"
 	"github.com/agatespindle/agatespindle/internal/base/fault"
 	"github.com/agatespindle/agatespindle/internal/control/spec"
+	"github.com/agatespindle/agatespindle/internal/traffic/drain"
 	"github.com/agatespindle/agatespindle/internal/traffic/holder"
 )
 
@@ -293,9 +294,9 @@
 // waitForReader waits until at most maxUnreadBytes are unread. It closes the connection if the caller
 // stops reading.
 func (s *session) waitForReader(unread int) error {
-	var progress readProgress
+	var progress drain.Progress
 	for unread > maxUnreadBytes {
-		if progress.stalled(s.srv.Now(), unread, s.srv.readTimeout()) {
+		if progress.Stalled(s.srv.Now(), unread, s.srv.readTimeout()) {
 			s.srv.Meter.CountRefusal(fault.SlowReader)
 			_ = s.conn.Close()
 			return fault.New(fault.Ran, fault.SlowReader, "caller did not read the response in time")
@@ -318,20 +319,6 @@
 	return nil
 }
 
-// readProgress tells a caller that reads slowly from one that has stopped.
-type readProgress struct {
-	unread int
-	since  time.Time
-}
-
-// stalled records the number of unread bytes, and reports whether none has been read for timeout.
-func (p *readProgress) stalled(now time.Time, unread int, timeout time.Duration) bool {
-	if p.since.IsZero() || unread < p.unread {
-		p.unread, p.since = unread, now
-	}
-	return now.Sub(p.since) > timeout
-}
-
 // readTimeout returns how long a caller may read nothing of an answer.
 func (s *Server) readTimeout() time.Duration {
 	if s.ReadTimeout > 0 {
--- a/internal/traffic/front/caller.go
+++ b/internal/traffic/front/caller.go
@@ -43,10 +43,10 @@
 	out            []byte
 	// partialSince is when the first part of an incomplete message was seen; zero if there is none.
 	partialSince time.Time
-	// blockedSince is when a message began to wait for the caller to read answers, or since when the
-	// caller has read nothing of them; zero if none waits. blockedBytes were unread then.
-	blockedSince time.Time
-	blockedBytes int
+	// reading is the caller's progress with answers that hold up its next message or the close, and
+	// blocked is set while a message waits for it.
+	reading drain.Progress
+	blocked bool
 	// used is set once a statement has arrived.
 	used bool
 	// sendsAhead is set once the caller has sent a statement before the answer to the last one.
@@ -54,9 +54,8 @@
 	// shedding is set once the connection is to be closed as soon as it is idle.
 	shedding bool
 	// ending is set once no further message is handled: the connection is closed when all answers have
-	// been sent. endingSince is when that was decided.
-	ending      bool
-	endingSince time.Time
+	// been sent.
+	ending bool
 }
 
 // handleTraffic handles the complete messages in the input buffer and closes the connection if that is
@@ -94,7 +93,7 @@
 	}
 	m, n, err := c.srv.Codec.ParseMessage(b)
 	if err != nil {
-		c.end(now)
+		c.end()
 		return c.reject(err), false
 	}
 	if n == 0 {
@@ -104,36 +103,33 @@
 		return nil, false
 	}
 	c.partialSince = time.Time{}
-	if c.blocked(now) {
+	if c.awaitsReader(now) {
 		return nil, false
 	}
 	if _, err := c.conn.Discard(n); err != nil {
-		c.end(now)
+		c.end()
 		return nil, false
 	}
 	return c.handleMessage(now, m), true
 }
 
-// blocked reports whether a message waits until the caller has read more of the answers before it.
-// c.mu must be held, and the event loop must call it.
-func (c *caller) blocked(now time.Time) bool {
+// awaitsReader reports whether a message waits until the caller has read more of the answers before it. A
+// caller that stops reading is disconnected. c.mu must be held, and the event loop must call it.
+func (c *caller) awaitsReader(now time.Time) bool {
 	unread, limit := c.conn.OutboundBuffered(), c.srv.Limits.UnreadBytes
-	if limit == 0 || unread <= limit {
-		c.blockedSince = time.Time{}
-		return false
-	}
-	if c.blockedSince.IsZero() || unread < c.blockedBytes {
-		c.blockedSince, c.blockedBytes = now, unread
+	c.blocked = limit > 0 && unread > limit
+	switch {
+	case !c.blocked:
+		c.reading = drain.Progress{}
+	case c.reading.Stalled(now, unread, readTimeout):
+		c.srv.Meter.AddCounter("refused.unread", 1)
+		c.end()
 	}
-	return true
+	return c.blocked
 }
 
 // end has the connection closed once all answers have been sent. c.mu must be held.
-func (c *caller) end(now time.Time) {
-	if !c.ending {
-		c.ending, c.endingSince = true, now
-	}
-}
+func (c *caller) end() { c.ending = true }
 
 // closeIfDone returns gnet.Close if the connection is to be closed and nothing is owed to its caller.
 // gnet drops what it has not sent when it closes a connection.
@@ -144,7 +140,8 @@
 		return gnet.None
 	}
 	if c.ending {
-		if c.conn.OutboundBuffered() > 0 && now.Sub(c.endingSince) < c.srv.Limits.unsentTimeout() {
+		unsent := c.conn.OutboundBuffered()
+		if unsent > 0 && !c.reading.Stalled(now, unsent, readTimeout) {
 			return gnet.None
 		}
 		return gnet.Close
@@ -208,7 +205,7 @@
 func (c *caller) handleMessage(now time.Time, m Message) []byte {
 	switch {
 	case m.Quit:
-		c.end(now)
+		c.end()
 		return nil
 	case m.Startup != nil:
 		return c.handleStartup(now, m.Startup)
@@ -216,7 +213,7 @@
 		return c.refuseAfterAbandoned(*m.Statement)
 	case c.session == nil:
 		c.srv.Meter.AddCounter("refused.nosession", 1)
-		c.end(now)
+		c.end()
 		return nil
 	}
 	return c.handleStatement(now, *m.Statement)
@@ -272,7 +269,7 @@
 // have restarted at the same time.
 func (c *caller) handleStartup(now time.Time, startup *Startup) []byte {
 	if c.session != nil || c.abandoned {
-		c.end(now)
+		c.end()
 		return nil
 	}
 	if c.srv.CanOpenSession(now) || c.srv.DatabasesKnown == nil {
@@ -288,23 +285,23 @@
 // startSession opens a session or answers why it cannot. c.mu must be held.
 func (c *caller) startSession(now time.Time, startup *Startup) []byte {
 	if !c.srv.CanOpenSession(now) {
-		return c.refuseStartup(now, "notready", flow.ErrorAnswer(flow.Busy, flow.Idle, "host is not ready"))
+		return c.refuseStartup("notready", flow.ErrorAnswer(flow.Busy, flow.Idle, "host is not ready"))
 	}
 	session, ok := c.srv.Sessions.Open(startup.Database)
 	if !ok {
-		return c.refuseStartup(now, "nodatabase", flow.ErrorAnswer(flow.NoDatabase, flow.Idle, startup.Database))
+		return c.refuseStartup("nodatabase", flow.ErrorAnswer(flow.NoDatabase, flow.Idle, startup.Database))
 	}
 	if !c.srv.drainSchedule().StartsRequest(now, session.Timeout(), false) {
-		return c.refuseStartup(now, "draining", flow.ErrorAnswer(flow.Busy, flow.Idle, "host is shutting down"))
+		return c.refuseStartup("draining", flow.ErrorAnswer(flow.Busy, flow.Idle, "host is shutting down"))
 	}
 	c.session = session
 	return c.srv.Codec.AppendStartupAnswer(nil, flow.SuccessAnswer(flow.Idle))
 }
 
 // refuseStartup answers a startup message with an error and has the connection closed. c.mu must be held.
-func (c *caller) refuseStartup(now time.Time, reason string, a flow.Answer) []byte {
+func (c *caller) refuseStartup(reason string, a flow.Answer) []byte {
 	c.srv.Meter.AddCounter("refused."+reason, 1)
-	c.end(now)
+	c.end()
 	return c.srv.Codec.AppendStartupAnswer(nil, a)
 }
 
@@ -439,7 +436,7 @@
 	if c.closed {
 		return
 	}
-	if c.ending || !c.blockedSince.IsZero() {
+	if c.ending || c.blocked {
 		// The caller may have read answers since.
 		defer c.wake()
 	}
@@ -449,15 +446,12 @@
 	switch {
 	case !c.partialSince.IsZero() && now.Sub(c.partialSince) > timeout:
 		c.srv.Meter.AddCounter("refused.slowmessage", 1)
-	case !c.blockedSince.IsZero() && now.Sub(c.blockedSince) > timeout:
-		c.srv.Meter.AddCounter("refused.unread", 1)
-		c.end(c.blockedSince)
 	case c.session == nil && now.Sub(c.connectedAt) > timeout:
 		c.srv.Meter.AddCounter("refused.noopening", 1)
 	default:
 		return
 	}
-	c.end(now)
+	c.end()
 	c.wake()
 }
 
--- a/internal/traffic/front/front.go
+++ b/internal/traffic/front/front.go
@@ -28,6 +28,9 @@
 	// databases. The control quorum is available within 500 ms of a restart of all hosts, and callers
 	// time out after 2 s.
 	startupHoldLimit = 700 * time.Millisecond
+	// readTimeout is how long a caller may read nothing of answers that hold up its next message or the
+	// close of its connection.
+	readTimeout = 3 * time.Second
 	// sweepInterval is the interval between checks of idle transactions and caller timeouts.
 	sweepInterval = 250 * time.Millisecond
 )
@@ -76,18 +79,10 @@
 	// may take to send its startup message.
 	MessageTimeout time.Duration
 	// UnreadBytes is how many bytes of answers may be buffered before the caller's next message is
-	// handled. A caller that sends one and reads nothing for MessageTimeout is disconnected.
+	// handled. A caller that sends one and reads nothing for readTimeout is disconnected.
 	UnreadBytes int
 }
 
-// unsentTimeout returns how long a caller may read nothing of answers that hold up the connection.
-func (l Limits) unsentTimeout() time.Duration {
-	if l.MessageTimeout == 0 {
-		return DefaultMessageTimeout
-	}
-	return l.MessageTimeout
-}
-
 // Server accepts caller connections. The exported fields are set before Run.
 type Server struct {
 	gnet.BuiltinEventEngine
