--- a/internal/traffic/entry/drain.go
+++ b/internal/traffic/entry/drain.go
@@ -8,6 +8,7 @@
 
 	"github.com/agatespindle/agatespindle/internal/base/fault"
 	"github.com/agatespindle/agatespindle/internal/traffic/drain"
+	"github.com/agatespindle/agatespindle/internal/traffic/holder"
 )
 
 const (
@@ -104,7 +105,7 @@
 	if beginsTransaction && !schedule.StartsTransaction(now) {
 		return false
 	}
-	return schedule.StartsRequest(now, s.statementTimeout)
+	return schedule.StartsRequest(now, s.statementTimeout, s.txStatus != holder.Idle)
 }
 
 // endDrained ends the session in place of the answer to a request that is not started.
