--- a/internal/tools/host/limit_test.go
+++ b/internal/tools/host/limit_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"github.com/jackc/pgx/v5/pgproto3"
 	. "github.com/smartystreets/goconvey/convey"
 )
 
@@ -79,8 +78,7 @@
 		conn, f := d.dialRaw(holder)
 		defer conn.Close()
 		run := func(sql string) answer {
-			f.Send(&pgproto3.Query{String: sql})
-			So(f.Flush(), ShouldBeNil)
+			send(f, sql)
 			return readAnswer(f)
 		}
 		So(run("SET agatespindle.timeout = '500ms'"), ShouldResemble, answer{})
