--- a/internal/tools/soak/host.go
+++ b/internal/tools/soak/host.go
@@ -128,11 +128,9 @@
 	return h.process
 }
 
-// kill kills the process p if it is still running.
-func (h *host) kill(p *os.Process) {
+// kill kills the process p if it is still running, and reports whether it was.
+func (h *host) kill(p *os.Process) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.process == p {
-		_ = p.Kill()
-	}
+	return h.process == p && p.Kill() == nil
 }
--- a/internal/tools/soak/planned.go
+++ b/internal/tools/soak/planned.go
@@ -130,7 +130,11 @@
 	}
 	if sig == syscall.SIGTERM && r.plan.stopping[h] != p {
 		r.plan.stopping[h] = p
-		time.AfterFunc(grace, func() { h.kill(p) })
+		time.AfterFunc(grace, func() {
+			if h.kill(p) {
+				r.Logf("planned: %s still ran at the end of grace", h.name)
+			}
+		})
 	}
 	r.faults++
 	r.Logf("planned: %s to %s", sig, h.name)
@@ -174,7 +178,7 @@
 			s.runTransactions(ctx, rng, id)
 		case kindLarge:
 			s.pause = time.Duration(rng.Int64N(int64(2 * largePause)))
-			s.runReads(ctx, rng, id, fmt.Sprint("READ large:", largeKilobytes), 1)
+			s.runReads(ctx, rng, id, fmt.Sprint("READ large:", largeKilobytes), 1+rng.IntN(2))
 		case kindNear:
 			s.runReads(ctx, rng, id, fmt.Sprint("READ slow:", rng.IntN(700)), 1)
 		case kindSingle:
