front: Close callers that send ahead once only refusals could be lost

What callers saw: a caller that always sends ahead was refused in a loop (up to 12,101 answers) until the drain's limit, and the host left control's list late.

Cause: its connection was held open until the kernel had delivered everything, which never holds while it sends. Now only answers that are not refusals are waited for; what was refused has not run.

The transaction state of a session is no longer read while a statement runs. The test of held startup messages connects until the drain has ended and stops the engine 50 ms later, as the other services of a host do: gnet leaves a connection that it accepts while it stops open until the process ends (15 s without an answer in one run of the test).

nodes: SIGHUP is handled before the settings are read; it ended a process that had just started.

--- a/internal/tools/nodes/run.go
+++ b/internal/tools/nodes/run.go
@@ -26,6 +26,11 @@
 
 // Execute implements flags.Commander.
 func (c *runCommand) Execute([]string) error {
+	// Before anything that takes time: without a handler, SIGHUP ends the process.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
 	path := c.Config
 	if path == "" {
 		path = os.Getenv(platform.SettingsEnv)
@@ -34,8 +39,6 @@
 	if err != nil {
 		return usageError{err}
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	logOut := logs.NewBoundedWriter()
 	writeCtx, stopWriting := context.WithCancel(context.Background())
 	writerDone := logOut.Run(writeCtx, c.out)
@@ -44,7 +47,7 @@
 		<-writerDone
 	}()
 	opt := node.Options{
-		Settings: cfg, Log: logOut, Dropped: logOut.Dropped, Level: c.Level, SettingsChanged: watchSettings(ctx, path),
+		Settings: cfg, Log: logOut, Dropped: logOut.Dropped, Level: c.Level, SettingsChanged: watchSettings(ctx, hup, path),
 		Reload: func() (platform.Settings, error) { return platform.ReadSettings(path) },
 	}
 	if c.Metrics != "" {
@@ -57,11 +60,9 @@
 	return n.Run(ctx)
 }
 
-// watchSettings returns a channel that receives a value on SIGHUP and when the file's modification
-// time changes, until ctx ends.
-func watchSettings(ctx context.Context, path string) <-chan struct{} {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
+// watchSettings returns a channel that receives a value on a signal of hup and when the file's
+// modification time changes, until ctx ends.
+func watchSettings(ctx context.Context, hup <-chan os.Signal, path string) <-chan struct{} {
 	changed := make(chan struct{}, 1)
 	go func() {
 		tick := time.NewTicker(settingsPollInterval)
--- a/internal/traffic/front/caller.go
+++ b/internal/traffic/front/caller.go
@@ -49,6 +49,8 @@
 	blocked bool
 	// used is set once a statement has arrived.
 	used bool
+	// refusals is the number of bytes of refusals, because the host drains, since the last other answer.
+	refusals int
 	// sendsAhead is set once the caller has sent a statement before the answer to the last one.
 	sendsAhead bool
 	// shedding is set once the connection is to be closed as soon as it is idle.
@@ -162,12 +164,13 @@
 func (c *caller) state() drain.Conn {
 	st := drain.Conn{
 		Opened: c.connectedAt, Used: c.used, Running: c.busy, Received: c.conn.InboundBuffered(), Unsent: c.conn.OutboundBuffered(),
-		InTransaction: !c.abandoned && c.session != nil && c.session.State() != flow.Idle,
 	}
 	if c.abandoned {
 		st.Running = false
 	}
+	// The session of a running statement belongs to its goroutine.
 	if !st.Running {
+		st.InTransaction = !c.abandoned && c.session != nil && c.session.State() != flow.Idle
 		c.addPending(&st)
 	}
 	return st
@@ -186,7 +189,11 @@
 		c.srv.Log.WithField("error", err.Error()).Debug("kernel does not tell what is pending on a caller connection")
 		return
 	}
-	if c.sendsAhead || unsent > initialWindow {
+	switch {
+	case c.refusals > 0:
+		// Such a caller may never stop sending. Only refusals may be dropped: nothing of them has run.
+		st.Unsent = max(0, st.Unsent+unsent-c.refusals)
+	case c.sendsAhead || unsent > initialWindow:
 		st.Received, st.Unsent = st.Received+received, st.Unsent+unsent
 	}
 }
@@ -227,10 +234,9 @@
 	}
 	c.used = true
 	if c.refuses(now, st) {
-		c.srv.Meter.AddCounter("refused.draining", 1)
-		c.out = c.srv.Codec.AppendAnswer(c.out[:0], c.session.Refuse(st))
-		return c.out
+		return c.refuse(c.session.Refuse(st))
 	}
+	c.refusals = 0
 	if a, ok := c.session.RunLocal(now, st); ok {
 		c.out = c.srv.Codec.AppendAnswer(c.out[:0], a)
 		return c.out
@@ -254,14 +260,21 @@
 	return false
 }
 
+// refuse returns the encoded answer to a statement that is not started because the host drains. c.mu must
+// be held.
+func (c *caller) refuse(a flow.Answer) []byte {
+	c.srv.Meter.AddCounter("refused.draining", 1)
+	out := c.srv.Codec.AppendAnswer(nil, a)
+	c.refusals += len(out)
+	return out
+}
+
 // refuseAfterAbandoned refuses a statement that follows an abandoned one. c.mu must be held.
 func (c *caller) refuseAfterAbandoned(st flow.Statement) []byte {
-	c.srv.Meter.AddCounter("refused.draining", 1)
 	if st.Kind == flow.Commit || st.Kind == flow.Rollback {
 		c.abandonedState = flow.Idle
 	}
-	c.out = c.srv.Codec.AppendAnswer(nil, flow.ErrorAnswer(flow.Busy, c.abandonedState, "host is shutting down"))
-	return c.out
+	return c.refuse(flow.ErrorAnswer(flow.Busy, c.abandonedState, "host is shutting down"))
 }
 
 // handleStartup opens a session. On a host that has just started it holds the startup message for a
--- a/internal/traffic/front/cut_test.go
+++ b/internal/traffic/front/cut_test.go
@@ -369,6 +369,15 @@
 	})
 }
 
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // TestDrainAnswersHeldStartups covers callers that connect to a host which knows no databases yet and is
 // stopped.
 func TestDrainAnswersHeldStartups(t *testing.T) {
@@ -378,15 +387,22 @@
 			s.CanOpenSession = func(time.Time) bool { return false }
 		})
 		defer h.stop()
-		stopped := make(chan struct{})
+		drained, stopped := make(chan struct{}), make(chan struct{})
 		started := time.Now()
 		go func() {
 			defer close(stopped)
-			h.stopAfterDrain()
+			ctx, cancel := context.WithTimeout(context.Background(), cutDrainLimit)
+			defer cancel()
+			h.Drain(ctx)
+			close(drained)
+			// The other services of a host stop first. A connection that is accepted while the engine stops is
+			// closed only when the process ends.
+			time.Sleep(50 * time.Millisecond)
+			h.stop()
 		}()
 		results := make(chan error, 64)
 		callers := 0
-		for at := time.Duration(0); at < cutDrainLimit; at += 60 * time.Millisecond {
+		for at := time.Duration(0); at < cutDrainLimit && !isClosed(drained); at += 60 * time.Millisecond {
 			time.Sleep(time.Until(started.Add(at)))
 			go func() { results <- h.connectAndQuery(fmt.Sprint("held", at), "WRITE a b") }()
 			callers++
