--- a/internal/traffic/entry/session__traffic.go
+++ b/internal/traffic/entry/session__traffic.go
@@ -11,6 +11,7 @@
 	"github.com/agatespindle/agatespindle/internal/backend/adapt"
 	"github.com/agatespindle/agatespindle/internal/base/fault"
 	"github.com/agatespindle/agatespindle/internal/control/spec"
+	"github.com/agatespindle/agatespindle/internal/traffic/drain"
 	"github.com/agatespindle/agatespindle/internal/traffic/holder"
 )
 
@@ -34,10 +35,10 @@
 
 // handleInbound handles the messages that have arrived, until one starts a request. It runs on
 // the event loop and must not block.
-func (s *session) handleInbound() gnet.Action {
+func (s *session) handleInbound(now time.Time) gnet.Action {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for !s.busy && !s.closed {
+	for !s.busy && !s.closed && !s.ended && s.failure == nil {
 		b, _ := s.conn.Peek(-1)
 		var n int
 		var act gnet.Action
@@ -46,24 +47,22 @@
 		} else {
 			n, act = s.handleStartup(b)
 		}
+		if n > 0 {
+			s.conn.Discard(n)
+		}
 		if act != gnet.None {
 			return act
 		}
 		if n == 0 {
-			return gnet.None
+			break
 		}
-		s.conn.Discard(n)
-	}
-	if s.conn.InboundBuffered() > maxBatchBytes+maxStartupBytes {
-		return s.closeWithError(fault.New(fault.NotRun, fault.BadMessage, "too many bytes were sent while a request was running"))
 	}
-	return gnet.None
+	return s.endIfDue(now)
 }
 
 // closeWithError sends a FATAL error response and closes the connection.
 func (s *session) closeWithError(e *fault.Error) gnet.Action {
-	s.closed = true
-	s.sendFatal(e)
+	s.end(e)
 	return gnet.None
 }
 
@@ -123,7 +122,7 @@
 	if s.database == "" {
 		s.database = s.user
 	}
-	if s.srv.draining.Load() {
+	if s.srv.Draining() {
 		return fault.New(fault.NotRun, fault.Draining, "host %s is shutting down", s.srv.Host)
 	}
 	if !s.srv.Agent.LeaseValid(s.srv.Now()) {
@@ -223,7 +222,7 @@
 	case 'F': // FunctionCall
 		s.startRequest(func() { s.replyError(unsupported("function calls")) })
 	case 'X': // Terminate
-		return size, gnet.Close
+		s.end(nil)
 	case 'd', 'c', 'f': // CopyData, CopyDone, CopyFail: ignored, since COPY is not supported
 	default:
 		return 0, s.closeWithError(fault.New(fault.NotRun, fault.BadMessage, "unknown message type %q", kind))
@@ -265,7 +264,7 @@
 	}
 	written := make(chan int, 1)
 	data := append([]byte(nil), b...)
-	err := s.conn.AsyncWrite(data, func(c gnet.Conn, err error) error {
+	err := s.write(data, func(c gnet.Conn, err error) error {
 		n := 0
 		if err == nil {
 			n = c.OutboundBuffered()
@@ -287,17 +286,17 @@
 const (
 	// maxUnreadBytes is the number of unread bytes above which sending waits for the caller.
 	maxUnreadBytes = 1 << 20
-	// slowReaderTimeout is how long sending waits for a slow caller before it closes the connection.
-	slowReaderTimeout      = 30 * time.Second
+	// defaultReadTimeout applies where Server.ReadTimeout is zero.
+	defaultReadTimeout     = 30 * time.Second
 	slowReaderPollInterval = 10 * time.Millisecond
 )
 
-// waitForReader waits until at most maxUnreadBytes are unread. It closes the connection after
-// slowReaderTimeout.
+// waitForReader waits until at most maxUnreadBytes are unread. It closes the connection if the caller
+// stops reading.
 func (s *session) waitForReader(unread int) error {
-	deadline := time.Now().Add(slowReaderTimeout)
+	var progress drain.Progress
 	for unread > maxUnreadBytes {
-		if time.Now().After(deadline) {
+		if progress.Stalled(s.srv.Now(), unread, s.srv.readTimeout()) {
 			s.srv.Meter.CountRefusal(fault.SlowReader)
 			_ = s.conn.Close()
 			return fault.New(fault.Ran, fault.SlowReader, "caller did not read the response in time")
@@ -320,5 +319,13 @@
 	return nil
 }
 
+// readTimeout returns how long a caller may read nothing of an answer.
+func (s *Server) readTimeout() time.Duration {
+	if s.ReadTimeout > 0 {
+		return s.ReadTimeout
+	}
+	return defaultReadTimeout
+}
+
 // priorityClass returns the priority class of the caller.
 func (s *session) priorityClass() spec.Class { return spec.ParseClass(s.callerSpec.Class) }
--- a/internal/traffic/front/caller.go
+++ b/internal/traffic/front/caller.go
@@ -27,7 +27,8 @@
 	busy    bool
 	closed  bool
 	session *sess.Session
-	// cancel ends the running statement, if any: its caller no longer waits for the answer.
+	// cancel ends the running statement, if any: its caller no longer waits for the answer. For a held
+	// startup message it ends the hold.
 	cancel context.CancelFunc
 	// running is the ID of the running statement, or of the last one; startedAt is when it arrived.
 	running   string
@@ -42,20 +43,21 @@
 	out            []byte
 	// partialSince is when the first part of an incomplete message was seen; zero if there is none.
 	partialSince time.Time
-	// blockedSince is when a message began to wait for the caller to read answers, or since when the
-	// caller has read nothing of them; zero if none waits. blockedBytes were unread then.
-	blockedSince time.Time
-	blockedBytes int
+	// reading is the caller's progress with answers that hold up its next message or the close, and
+	// blocked is set while a message waits for it.
+	reading drain.Progress
+	blocked bool
 	// used is set once a statement has arrived.
 	used bool
+	// refusals is the number of bytes of refusals, because the host drains, since the last other answer.
+	refusals int
 	// sendsAhead is set once the caller has sent a statement before the answer to the last one.
 	sendsAhead bool
 	// shedding is set once the connection is to be closed as soon as it is idle.
 	shedding bool
 	// ending is set once no further message is handled: the connection is closed when all answers have
-	// been sent. endingSince is when that was decided.
-	ending      bool
-	endingSince time.Time
+	// been sent.
+	ending bool
 }
 
 // handleTraffic handles the complete messages in the input buffer and closes the connection if that is
@@ -93,7 +95,7 @@
 	}
 	m, n, err := c.srv.Codec.ParseMessage(b)
 	if err != nil {
-		c.end(now)
+		c.end()
 		return c.reject(err), false
 	}
 	if n == 0 {
@@ -103,36 +105,33 @@
 		return nil, false
 	}
 	c.partialSince = time.Time{}
-	if c.blocked(now) {
+	if c.awaitsReader(now) {
 		return nil, false
 	}
 	if _, err := c.conn.Discard(n); err != nil {
-		c.end(now)
+		c.end()
 		return nil, false
 	}
 	return c.handleMessage(now, m), true
 }
 
-// blocked reports whether a message waits until the caller has read more of the answers before it.
-// c.mu must be held, and the event loop must call it.
-func (c *caller) blocked(now time.Time) bool {
+// awaitsReader reports whether a message waits until the caller has read more of the answers before it. A
+// caller that stops reading is disconnected. c.mu must be held, and the event loop must call it.
+func (c *caller) awaitsReader(now time.Time) bool {
 	unread, limit := c.conn.OutboundBuffered(), c.srv.Limits.UnreadBytes
-	if limit == 0 || unread <= limit {
-		c.blockedSince = time.Time{}
-		return false
-	}
-	if c.blockedSince.IsZero() || unread < c.blockedBytes {
-		c.blockedSince, c.blockedBytes = now, unread
+	c.blocked = limit > 0 && unread > limit
+	switch {
+	case !c.blocked:
+		c.reading = drain.Progress{}
+	case c.reading.Stalled(now, unread, readTimeout):
+		c.srv.Meter.AddCounter("refused.unread", 1)
+		c.end()
 	}
-	return true
+	return c.blocked
 }
 
 // end has the connection closed once all answers have been sent. c.mu must be held.
-func (c *caller) end(now time.Time) {
-	if !c.ending {
-		c.ending, c.endingSince = true, now
-	}
-}
+func (c *caller) end() { c.ending = true }
 
 // closeIfDone returns gnet.Close if the connection is to be closed and nothing is owed to its caller.
 // gnet drops what it has not sent when it closes a connection.
@@ -143,7 +142,8 @@
 		return gnet.None
 	}
 	if c.ending {
-		if c.conn.OutboundBuffered() > 0 && now.Sub(c.endingSince) < c.srv.Limits.unsentTimeout() {
+		unsent := c.conn.OutboundBuffered()
+		if unsent > 0 && !c.reading.Stalled(now, unsent, readTimeout) {
 			return gnet.None
 		}
 		return gnet.Close
@@ -164,24 +164,40 @@
 func (c *caller) state() drain.Conn {
 	st := drain.Conn{
 		Opened: c.connectedAt, Used: c.used, Running: c.busy, Received: c.conn.InboundBuffered(), Unsent: c.conn.OutboundBuffered(),
-		InTransaction: !c.abandoned && c.session != nil && c.session.State() != flow.Idle,
 	}
 	if c.abandoned {
 		st.Running = false
 	}
-	if c.sendsAhead && !st.Running {
-		// The next message of such a caller may arrive after the close; the reset that it causes drops
-		// what the caller's host has not received.
-		received, unsent, err := sock.Pending(c.conn.Fd())
-		if err != nil {
-			c.srv.Meter.AddCounter("callers.pending.unknown", 1)
-			c.srv.Log.WithField("error", err.Error()).Debug("kernel does not tell what is pending on a caller connection")
-		}
-		st.Received, st.Unsent = st.Received+received, st.Unsent+unsent
+	// The session of a running statement belongs to its goroutine.
+	if !st.Running {
+		st.InTransaction = !c.abandoned && c.session != nil && c.session.State() != flow.Idle
+		c.addPending(&st)
 	}
 	return st
 }
 
+// initialWindow is the number of bytes that TCP sends at once on a new connection (RFC 6928).
+const initialWindow = 10 * 1460
+
+// addPending adds to st what the kernel has not delivered. If the caller's next message arrives after
+// the close, the kernel resets the connection and drops what it has not sent. A caller that sends one
+// statement at a time has read the last answer by then, unless that was too large to be sent at once.
+func (c *caller) addPending(st *drain.Conn) {
+	received, unsent, err := sock.Pending(c.conn.Fd())
+	if err != nil {
+		c.srv.Meter.AddCounter("callers.pending.unknown", 1)
+		c.srv.Log.WithField("error", err.Error()).Debug("kernel does not tell what is pending on a caller connection")
+		return
+	}
+	switch {
+	case c.refusals > 0:
+		// Such a caller may never stop sending. Only refusals may be dropped: nothing of them has run.
+		st.Unsent = max(0, st.Unsent+unsent-c.refusals)
+	case c.sendsAhead || unsent > initialWindow:
+		st.Received, st.Unsent = st.Received+received, st.Unsent+unsent
+	}
+}
+
 // reject returns the error answer to a message that the codec cannot parse.
 func (c *caller) reject(err error) []byte {
 	c.srv.Meter.AddCounter("refused.badmessage", 1)
@@ -196,7 +212,7 @@
 func (c *caller) handleMessage(now time.Time, m Message) []byte {
 	switch {
 	case m.Quit:
-		c.end(now)
+		c.end()
 		return nil
 	case m.Startup != nil:
 		return c.handleStartup(now, m.Startup)
@@ -204,7 +220,7 @@
 		return c.refuseAfterAbandoned(*m.Statement)
 	case c.session == nil:
 		c.srv.Meter.AddCounter("refused.nosession", 1)
-		c.end(now)
+		c.end()
 		return nil
 	}
 	return c.handleStatement(now, *m.Statement)
@@ -218,10 +234,9 @@
 	}
 	c.used = true
 	if c.refuses(now, st) {
-		c.srv.Meter.AddCounter("refused.draining", 1)
-		c.out = c.srv.Codec.AppendAnswer(c.out[:0], c.session.Refuse(st))
-		return c.out
+		return c.refuse(c.session.Refuse(st))
 	}
+	c.refusals = 0
 	if a, ok := c.session.RunLocal(now, st); ok {
 		c.out = c.srv.Codec.AppendAnswer(c.out[:0], a)
 		return c.out
@@ -245,14 +260,21 @@
 	return false
 }
 
+// refuse returns the encoded answer to a statement that is not started because the host drains. c.mu must
+// be held.
+func (c *caller) refuse(a flow.Answer) []byte {
+	c.srv.Meter.AddCounter("refused.draining", 1)
+	out := c.srv.Codec.AppendAnswer(nil, a)
+	c.refusals += len(out)
+	return out
+}
+
 // refuseAfterAbandoned refuses a statement that follows an abandoned one. c.mu must be held.
 func (c *caller) refuseAfterAbandoned(st flow.Statement) []byte {
-	c.srv.Meter.AddCounter("refused.draining", 1)
 	if st.Kind == flow.Commit || st.Kind == flow.Rollback {
 		c.abandonedState = flow.Idle
 	}
-	c.out = c.srv.Codec.AppendAnswer(nil, flow.ErrorAnswer(flow.Busy, c.abandonedState, "host is shutting down"))
-	return c.out
+	return c.refuse(flow.ErrorAnswer(flow.Busy, c.abandonedState, "host is shutting down"))
 }
 
 // handleStartup opens a session. On a host that has just started it holds the startup message for a
@@ -260,7 +282,7 @@
 // have restarted at the same time.
 func (c *caller) handleStartup(now time.Time, startup *Startup) []byte {
 	if c.session != nil || c.abandoned {
-		c.end(now)
+		c.end()
 		return nil
 	}
 	if c.srv.CanOpenSession(now) || c.srv.DatabasesKnown == nil {
@@ -276,23 +298,23 @@
 // startSession opens a session or answers why it cannot. c.mu must be held.
 func (c *caller) startSession(now time.Time, startup *Startup) []byte {
 	if !c.srv.CanOpenSession(now) {
-		return c.refuseStartup(now, "notready", flow.ErrorAnswer(flow.Busy, flow.Idle, "host is not ready"))
+		return c.refuseStartup("notready", flow.ErrorAnswer(flow.Busy, flow.Idle, "host is not ready"))
 	}
 	session, ok := c.srv.Sessions.Open(startup.Database)
 	if !ok {
-		return c.refuseStartup(now, "nodatabase", flow.ErrorAnswer(flow.NoDatabase, flow.Idle, startup.Database))
+		return c.refuseStartup("nodatabase", flow.ErrorAnswer(flow.NoDatabase, flow.Idle, startup.Database))
 	}
 	if !c.srv.drainSchedule().StartsRequest(now, session.Timeout(), false) {
-		return c.refuseStartup(now, "draining", flow.ErrorAnswer(flow.Busy, flow.Idle, "host is shutting down"))
+		return c.refuseStartup("draining", flow.ErrorAnswer(flow.Busy, flow.Idle, "host is shutting down"))
 	}
 	c.session = session
 	return c.srv.Codec.AppendStartupAnswer(nil, flow.SuccessAnswer(flow.Idle))
 }
 
 // refuseStartup answers a startup message with an error and has the connection closed. c.mu must be held.
-func (c *caller) refuseStartup(now time.Time, reason string, a flow.Answer) []byte {
+func (c *caller) refuseStartup(reason string, a flow.Answer) []byte {
 	c.srv.Meter.AddCounter("refused."+reason, 1)
-	c.end(now)
+	c.end()
 	return c.srv.Codec.AppendStartupAnswer(nil, a)
 }
 
@@ -302,8 +324,12 @@
 	defer c.srv.wg.Done()
 	ctx, cancel := context.WithTimeout(c.srv.ctx, startupHoldLimit)
 	defer cancel()
+	c.mu.Lock()
+	c.cancel = cancel
+	c.mu.Unlock()
 	clock.Await(ctx, c.srv.DatabasesKnown)
 	c.mu.Lock()
+	c.cancel = nil
 	out := c.startSession(c.srv.Now(), &startup)
 	c.mu.Unlock()
 	c.reply(out)
@@ -338,10 +364,13 @@
 	c.reply(out)
 }
 
-// abandon answers a statement that still runs with what is certain of it.
+// abandon answers a statement that still runs with what is certain of it, and a held startup message.
 func (c *caller) abandon() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.session == nil && c.cancel != nil {
+		c.cancel()
+	}
 	if c.closed || c.fallback == nil {
 		return
 	}
@@ -420,7 +449,7 @@
 	if c.closed {
 		return
 	}
-	if c.ending || !c.blockedSince.IsZero() {
+	if c.ending || c.blocked {
 		// The caller may have read answers since.
 		defer c.wake()
 	}
@@ -430,15 +459,12 @@
 	switch {
 	case !c.partialSince.IsZero() && now.Sub(c.partialSince) > timeout:
 		c.srv.Meter.AddCounter("refused.slowmessage", 1)
-	case !c.blockedSince.IsZero() && now.Sub(c.blockedSince) > timeout:
-		c.srv.Meter.AddCounter("refused.unread", 1)
-		c.end(c.blockedSince)
 	case c.session == nil && now.Sub(c.connectedAt) > timeout:
 		c.srv.Meter.AddCounter("refused.noopening", 1)
 	default:
 		return
 	}
-	c.end(now)
+	c.end()
 	c.wake()
 }
 
