lend: Give up sending an answer that the borrower has abandoned

What operators would see: a control host takes 5 s to stop, and its lent connections look busy, though nothing runs.

Cause: an answer larger than the stream's window (1 MB) blocks the lender until the borrower reads. A borrower that has given up at its time limit closes the stream, which does not unblock a write in yamux. Since the drain waits for answers to be sent, such an answer held it up to its limit; before that it only held a goroutine.

Now the answer must be sent by the time at which the borrower gives up.

--- a/internal/traffic/lend/drain_test.go
+++ b/internal/traffic/lend/drain_test.go
@@ -193,23 +193,29 @@
 	}
 }
 
+// askForLargeAnswer starts a host and sends it a request whose answer is larger than a stream's window.
+func askForLargeAnswer(limit time.Duration) (*lendingHost, *link.Conn) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	Reset(func() { ln.Close() })
+	row := strings.Repeat("y", 1<<19)
+	go serveRows(ln, row, row, row, row)
+	h := startLender(ln.Addr().String())
+	c, err := h.dialer.Open(context.Background(), h.addr, lend.Service)
+	So(err, ShouldBeNil)
+	So(c.SetDeadline(time.Now().Add(statementLimit)), ShouldBeNil)
+	So(c.Send(&wire.LendRequest{
+		Group: "g", Instance: "i", Patience: int64(limit), Limit: int64(limit), Last: true, Question: &wire.InstanceRequest{Id: "s", Text: "READ x"},
+	}), ShouldBeNil)
+	h.awaitArrival()
+	return h, c
+}
+
 // TestDrainWaitsUntilAnswerIsSent guards against a drain that ends, so that the connection to the borrower is
 // closed, while an answer is still being sent.
 func TestDrainWaitsUntilAnswerIsSent(t *testing.T) {
 	Convey("Given a borrower that reads slowly an answer larger than the stream's window", t, func() {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		So(err, ShouldBeNil)
-		Reset(func() { ln.Close() })
-		row := strings.Repeat("y", 1<<19)
-		go serveRows(ln, row, row, row, row)
-		h := startLender(ln.Addr().String())
-		c, err := h.dialer.Open(t.Context(), h.addr, lend.Service)
-		So(err, ShouldBeNil)
-		So(c.SetDeadline(time.Now().Add(statementLimit)), ShouldBeNil)
-		So(c.Send(&wire.LendRequest{
-			Group: "g", Instance: "i", Patience: int64(time.Second), Limit: int64(statementLimit), Last: true, Question: &wire.InstanceRequest{Id: "s", Text: "READ x"},
-		}), ShouldBeNil)
-		h.awaitArrival()
+		h, c := askForLargeAnswer(statementLimit)
 		received := make(chan error, 1)
 		reply := &wire.LendReply{}
 		time.AfterFunc(300*time.Millisecond, func() { received <- c.Recv(reply) })
@@ -220,6 +226,20 @@
 	})
 }
 
+// TestDrainDoesNotWaitForAbandonedAnswer guards against a drain that is held up to its limit by an answer that
+// nobody reads: the borrower has closed its stream at the time limit.
+func TestDrainDoesNotWaitForAbandonedAnswer(t *testing.T) {
+	Convey("Given an answer larger than the stream's window that the borrower has given up", t, func() {
+		h, c := askForLargeAnswer(200 * time.Millisecond)
+		So(c.Close(), ShouldBeNil)
+		started := time.Now()
+		h.stopLending()
+		h.drainAndStop()
+		So(time.Since(started), ShouldBeLessThan, drainLimit/2)
+		So(h.Meter.CounterValue("errands.cut.borrower"), ShouldEqual, 1)
+	})
+}
+
 // TestStoppingLenderRefusesNewUses guards against requests that a lender accepts, while its host shuts down,
 // and then breaks off.
 func TestStoppingLenderRefusesNewUses(t *testing.T) {
--- a/internal/traffic/lend/lend.go
+++ b/internal/traffic/lend/lend.go
@@ -107,13 +107,30 @@
 	}
 	s.lender.begin(s.lender.Now(), s)
 	defer s.lender.finish(s)
-	if err := s.conn.Send(s.answer(ctx, req)); err != nil {
+	abandoned := time.Now().Add(max(time.Duration(req.Limit), time.Duration(req.Patience)) + transitAllowance)
+	reply := s.answer(ctx, req)
+	if err := s.send(reply, abandoned); err != nil {
 		s.logCut("borrower", err)
 		return false
 	}
 	return true
 }
 
+// send sends a reply. Once the borrower has abandoned the request it no longer reads the reply, which may be
+// larger than the stream's window; the reply then has transitAllowance.
+func (s *lentStream) send(reply *wire.LendReply, abandoned time.Time) error {
+	if earliest := time.Now().Add(transitAllowance); abandoned.Before(earliest) {
+		abandoned = earliest
+	}
+	if err := s.conn.SetDeadline(abandoned); err != nil {
+		return err
+	}
+	if err := s.conn.Send(reply); err != nil {
+		return err
+	}
+	return s.conn.SetDeadline(time.Time{})
+}
+
 // answer runs a request, on a connection that it acquires unless one is lent already, and returns the
 // reply.
 func (s *lentStream) answer(ctx context.Context, req *wire.LendRequest) *wire.LendReply {
