agent: Renew no more after leaving

What operators saw: a control leader logs "no quorum of control hosts answered in time" (or "request queue … stayed full") for "join edge-…" again and again, without any fault on control hosts.

Cause: a host that stops removes itself from the replicated state, and its next renewal, up to 300 ms later, registers it again. The lease stream ends a moment later, and with its context the proposal, which is then logged as unanswered. If the proposal is committed in time, a failover waits until the lease of a host that is gone has expired.

The lines are thus no sign of trouble in the quorum, and not related to answers that are cut.

--- a/internal/control/agent/agent.go
+++ b/internal/control/agent/agent.go
@@ -104,6 +104,8 @@
 	renewNow chan struct{}
 
 	draining bool
+	// left is set once this host leaves the replicated state; a renewal would register it again.
+	left bool
 }
 
 // Prepare initializes the agent so that its methods can be called. It must be called before Run.
@@ -280,6 +282,10 @@
 	tick := time.NewTicker(a.RenewInterval)
 	defer tick.Stop()
 	for {
+		if a.hasLeft() {
+			<-ctx.Done()
+			return ctx.Err()
+		}
 		if err := c.Send(a.renewal(a.Now())); err != nil {
 			return err
 		}
@@ -423,6 +429,13 @@
 	a.RenewNow()
 }
 
+// hasLeft reports whether Leave was called.
+func (a *Agent) hasLeft() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.left
+}
+
 // Draining reports whether Drain was called.
 func (a *Agent) Draining() bool {
 	a.mu.Lock()
--- a/internal/control/agent/agent_test.go
+++ b/internal/control/agent/agent_test.go
@@ -261,3 +261,53 @@
 		So(<-served, ShouldBeNil)
 	})
 }
+
+// TestHostThatLeftRenewsNoMore guards against a host that registers itself again with the renewal after its
+// leave, so that a failover waits until its lease has expired.
+func TestHostThatLeftRenewsNoMore(t *testing.T) {
+	Convey("Given a host that renews its lease", t, func() {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		ctx, cancel := context.WithCancel(t.Context())
+		var left atomic.Bool
+		var before, after atomic.Int64
+		served := (&link.Server{Listener: ln, Handlers: map[string]link.Handler{
+			leader.LeaseService: func(_ context.Context, _ string, c *link.Conn) {
+				r := &wire.LeaseRenewal{}
+				for c.Recv(r) == nil {
+					if left.Load() {
+						after.Add(1)
+					} else {
+						before.Add(1)
+					}
+					_ = c.Send(&wire.LeaseGrant{Granted: true, Seq: r.Seq, Term: 1, Lease: uint64(time.Second)})
+				}
+			},
+			leader.CallService: func(_ context.Context, _ string, c *link.Conn) {
+				if c.Recv(&wire.ControlRequest{}) == nil {
+					left.Store(true)
+					_ = c.Send(&wire.ControlReply{})
+				}
+			},
+		}}).Run(ctx)
+		a := &agent.Agent{
+			Host: "h", Registration: &wire.HostState{}, Peers: []conf.Peer{{LinkAddr: ln.Addr().String()}}, RenewInterval: 20 * time.Millisecond,
+			Dialer: &link.Dialer{Host: "h"}, Log: logs.Discard(), Meter: meter.New(), Now: clock.Monotonic,
+		}
+		a.Prepare()
+		done := a.Run(ctx)
+		for before.Load() < 3 {
+			time.Sleep(time.Millisecond)
+		}
+		a.Leave(ctx)
+		So(left.Load(), ShouldBeTrue)
+		time.Sleep(200 * time.Millisecond)
+		a.RenewNow()
+		time.Sleep(50 * time.Millisecond)
+		So(after.Load(), ShouldEqual, 0)
+		cancel()
+		So(<-done, ShouldBeNil)
+		a.Dialer.Close()
+		So(<-served, ShouldBeNil)
+	})
+}
--- a/internal/control/agent/calls.go
+++ b/internal/control/agent/calls.go
@@ -71,9 +71,12 @@
 	return reply, nil
 }
 
-// Leave removes this host from the replicated state, so that nothing waits for its lease to
-// expire. Failure is only logged.
+// Leave ends the renewal of the lease and removes this host from the replicated state, so that nothing
+// waits for its lease to expire. Failure is only logged.
 func (a *Agent) Leave(ctx context.Context) {
+	a.mu.Lock()
+	a.left = true
+	a.mu.Unlock()
 	cmd := &wire.Command{Body: &wire.Command_Leave{Leave: &wire.LeaveHost{Host: a.Host, Instance: a.Registration.Instance}}}
 	if _, err := a.Call(ctx, &wire.ControlRequest{Method: leader.MethodChange, Command: cmd}); err != nil {
 		a.Log.WithError(err).Warn("removing this host from the control state failed")
