--- a/internal/traffic/entry/session__end.go
+++ b/internal/traffic/entry/session__end.go
@@ -160,6 +160,8 @@
 func (s *session) unacknowledged() int {
 	_, n, err := sock.Pending(s.conn.Fd())
 	if err != nil {
+		s.srv.Meter.AddCounter("callers.pending.unknown", 1)
+		s.srv.Log.WithError(err).Debug("kernel does not tell what is pending on a caller connection")
 		return 0
 	}
 	return n
