--- a/internal/base/link/link.go
+++ b/internal/base/link/link.go
@@ -38,6 +38,10 @@
 	keepAliveInterval = 2 * time.Second
 	// streamWindowBytes is the flow control window of a stream.
 	streamWindowBytes = 1 << 20
+	// acceptBacklog is the number of streams that may be opened before the other host accepts one.
+	acceptBacklog = 256
+	// flushTimeout limits the wait, before a session is closed, until the other host has what was sent.
+	flushTimeout = 250 * time.Millisecond
 	// retiredPingTimeout is how long a host may take to answer a ping on a retired connection; a round
 	// trip takes a few milliseconds. retiredCheckInterval is the time between two pings.
 	retiredPingTimeout   = 300 * time.Millisecond
@@ -151,6 +155,7 @@
 	cfg.KeepAliveInterval = keepAliveInterval
 	cfg.ConnectionWriteTimeout = writeTimeout
 	cfg.MaxStreamWindowSize = streamWindowBytes
+	cfg.AcceptBacklog = acceptBacklog
 	cfg.LogOutput = io.Discard
 	return cfg
 }
@@ -171,7 +176,8 @@
 	wg       sync.WaitGroup
 }
 
-// Run serves in the background until ctx is done. Once all handlers have returned, the returned channel
+// Run serves in the background until ctx is done. Handlers go on until what they have sent was received, for
+// at most flushTimeout, and then lose their streams. Once all have returned, the returned channel
 // receives nil, or the error with which accepting connections failed.
 func (s *Server) Run(ctx context.Context) <-chan error {
 	s.sessions = map[*yamux.Session]struct{}{}
@@ -179,11 +185,7 @@
 	go func() {
 		<-ctx.Done()
 		s.Listener.Close()
-		s.mu.Lock()
-		for session := range s.sessions {
-			session.Close()
-		}
-		s.mu.Unlock()
+		s.closeSessions()
 	}()
 	go func() {
 		err := s.accept(ctx)
@@ -193,6 +195,19 @@
 	return done
 }
 
+// closeSessions closes each session once the other host has received what was sent to it: the answer to a
+// ping is sent after all of that was read. A host that does not answer loses it after flushTimeout.
+func (s *Server) closeSessions() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for session := range s.sessions {
+		go func() {
+			_ = ping(session, flushTimeout)
+			session.Close()
+		}()
+	}
+}
+
 func (s *Server) accept(ctx context.Context) error {
 	for {
 		raw, err := s.Listener.Accept()
@@ -306,9 +321,11 @@
 	if err != nil {
 		return nil, err
 	}
-	raw, err := session.OpenStream()
+	raw, err := openStream(ctx, session)
 	if err != nil {
-		d.dropSession(addr, session)
+		if ctx.Err() == nil {
+			d.dropSession(addr, session)
+		}
 		return nil, fmt.Errorf("open stream to %s: %w", addr, err)
 	}
 	c := newConn(raw)
@@ -320,6 +337,36 @@
 	return c, nil
 }
 
+// openedStream is the result of opening a stream.
+type openedStream struct {
+	stream *yamux.Stream
+	err    error
+}
+
+// openStream opens a stream. If the other host may have acceptBacklog streams to accept, yamux waits until
+// it has accepted one, and openStream at most until ctx is done.
+func openStream(ctx context.Context, session *yamux.Session) (*yamux.Stream, error) {
+	if session.NumStreams() < acceptBacklog {
+		return session.OpenStream()
+	}
+	result := make(chan openedStream, 1)
+	go func() {
+		stream, err := session.OpenStream()
+		result <- openedStream{stream, err}
+	}()
+	select {
+	case r := <-result:
+		return r.stream, r.err
+	case <-ctx.Done():
+	}
+	go func() {
+		if r := <-result; r.err == nil {
+			r.stream.Close()
+		}
+	}()
+	return nil, ctx.Err()
+}
+
 // sharedSession returns the session with addr, or opens one. Concurrent calls share one attempt to open
 // it: with hundreds of statements in flight, one connection each would use up the file descriptors of
 // the other host.
--- a/internal/traffic/lend/lend.go
+++ b/internal/traffic/lend/lend.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"net"
 	"sync"
 	"time"
 
@@ -28,6 +30,8 @@
 const (
 	// transitAllowance is added to the time limit of a request for the network between hosts.
 	transitAllowance = 150 * time.Millisecond
+	// minLimit is the least time limit of a request that has waited for a connection.
+	minLimit = 10 * time.Millisecond
 	// maxIdleStreams is the maximum number of idle streams that are kept per lending host.
 	maxIdleStreams = 8
 	// openTimeout limits the opening of a stream.
@@ -40,6 +44,11 @@
 	// pingTimeout how long the ping may take; a round trip takes a few milliseconds.
 	pingAfter   = 80 * time.Millisecond
 	pingTimeout = 200 * time.Millisecond
+	// withdrawalTimeout limits the wait, at shutdown, until other hosts know that this host lends no
+	// more; an update reaches all of them within two lease renewals.
+	withdrawalTimeout = time.Second
+	// withdrawnQuiet is how long no request may have arrived by then.
+	withdrawnQuiet = 150 * time.Millisecond
 	// drainPollInterval is the interval at which a drain checks for lent connections.
 	drainPollInterval = 20 * time.Millisecond
 )
@@ -52,6 +61,8 @@
 	Meter    *meter.Meter
 	// Now returns the current time; tests replace it.
 	Now func() time.Time
+	// Withdrawn, if set, reports whether all other hosts know that this host lends no more.
+	Withdrawn func() bool
 
 	mu sync.Mutex
 	// running are the streams with a request that has arrived and whose answer is not sent yet.
@@ -59,6 +70,8 @@
 	// held is the number of connections that are lent at present.
 	held     int
 	schedule drain.Schedule
+	// arrivedAt is when the last request arrived.
+	arrivedAt time.Time
 }
 
 // lentStream is the lender's side of a stream. It lends at most one connection at a time.
@@ -74,11 +87,11 @@
 	request string
 }
 
-// Serve serves the requests of one stream until ctx or the stream ends. It is a link.Handler.
+// Serve serves the requests of one stream until the stream ends. It is a link.Handler.
 func (l *Lender) Serve(ctx context.Context, from string, c *link.Conn) {
 	s := &lentStream{lender: l, conn: c, host: from}
 	defer s.rollback()
-	for ctx.Err() == nil {
+	for {
 		req := &wire.LendRequest{}
 		if c.Recv(req) != nil || !s.serve(ctx, req) {
 			return
@@ -92,7 +105,7 @@
 	if req.Instance != "" {
 		s.instance = req.Instance
 	}
-	s.lender.begin(s)
+	s.lender.begin(s.lender.Now(), s)
 	defer s.lender.finish(s)
 	if err := s.conn.Send(s.answer(ctx, req)); err != nil {
 		s.logCut("borrower", err)
@@ -105,8 +118,9 @@
 // reply.
 func (s *lentStream) answer(ctx context.Context, req *wire.LendRequest) *wire.LendReply {
 	l := s.lender
+	arrived := l.Now()
 	reply := &wire.LendReply{}
-	if err := l.refusal(l.Now(), s); err != nil {
+	if err := l.refusal(arrived, s); err != nil {
 		s.rollback()
 		reply.Error = err.Error()
 		return reply
@@ -119,12 +133,24 @@
 		}
 		s.setHandle(handle)
 	}
-	if s.run(req, reply) {
+	if s.run(timeLimit(req, l.Now().Sub(arrived)), req, reply) {
 		s.setHandle(nil)
 	}
 	return reply
 }
 
+// timeLimit returns the time limit of a request that has waited for a connection. The limit of a write
+// counts from when the borrower sent it; that of a read is for the answer alone, since it can be tried
+// elsewhere.
+func timeLimit(req *wire.LendRequest, waited time.Duration) time.Duration {
+	limit := time.Duration(req.Limit)
+	if !req.Question.GetWrites() {
+		return limit
+	}
+	left := max(limit, time.Duration(req.Patience)) - waited
+	return min(limit, max(left, minLimit))
+}
+
 // setHandle sets the lent connection and counts it.
 func (s *lentStream) setHandle(handle pool.Handle) {
 	s.lender.mu.Lock()
@@ -153,13 +179,14 @@
 }
 
 // begin counts a request as running.
-func (l *Lender) begin(s *lentStream) {
+func (l *Lender) begin(now time.Time, s *lentStream) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.running == nil {
 		l.running = map[*lentStream]struct{}{}
 	}
 	l.running[s] = struct{}{}
+	l.arrivedAt = now
 }
 
 // finish ends a request that begin has counted.
@@ -207,10 +234,10 @@
 	return l.Topology.Member(req.Group, req.Instance)
 }
 
-// run runs a request and fills in the reply. It returns true if the connection is no longer lent.
-func (s *lentStream) run(req *wire.LendRequest, reply *wire.LendReply) bool {
+// run runs a request within limit and fills in the reply. It returns true if the connection is no longer lent.
+func (s *lentStream) run(limit time.Duration, req *wire.LendRequest, reply *wire.LendReply) bool {
 	start := time.Now()
-	a, stage, err := s.handle.Run(time.Duration(req.Limit), flow.ValuesOf(req.Values), requestFromWire(req.Question), req.Last)
+	a, stage, err := s.handle.Run(limit, flow.ValuesOf(req.Values), requestFromWire(req.Question), req.Last)
 	reply.Took = int64(time.Since(start))
 	reply.Stage = uint32(stage)
 	if err != nil {
@@ -249,9 +276,14 @@
 }
 
 // Drain waits, after StopLending, until all running requests are answered, which their own time limits
-// bound, and the transactions have ended. It returns early if ctx ends.
+// bound, the transactions have ended, and no more requests are on their way. It returns early if ctx
+// ends.
 func (l *Lender) Drain(ctx context.Context) {
-	for ctx.Err() == nil && !l.drained(l.Now()) {
+	for ctx.Err() == nil {
+		now := l.Now()
+		if l.drained(now) && (l.isWithdrawn(now) || l.withdrawalOverdue(now)) {
+			break
+		}
 		clock.Sleep(ctx, drainPollInterval)
 	}
 	l.logUnfinished()
@@ -264,6 +296,21 @@
 	return len(l.running) == 0 && (l.held == 0 || l.schedule.Closes(now, lentIdle))
 }
 
+// isWithdrawn reports whether no host sends requests any more. One that is on its way when the connection
+// to the borrower is closed cannot be refused, and a write would be in doubt.
+func (l *Lender) isWithdrawn(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Sub(l.arrivedAt) >= withdrawnQuiet && (l.Withdrawn == nil || l.Withdrawn())
+}
+
+// withdrawalOverdue reports whether the wait for other hosts has lasted too long.
+func (l *Lender) withdrawalOverdue(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Sub(l.schedule.Started) >= withdrawalTimeout
+}
+
 // logUnfinished logs the requests and counts the transactions that the end of a drain breaks off.
 func (l *Lender) logUnfinished() {
 	l.mu.Lock()
@@ -463,27 +510,34 @@
 
 // Run implements pool.Handle.
 func (b *borrowedConn) Run(timeout time.Duration, values flow.Values, req flow.Request, last bool) (flow.Answer, flow.Stage, error) {
+	if b.stream.SessionClosed() {
+		return flow.Answer{}, flow.Unsent, fmt.Errorf("lender %s: %w", b.addr, net.ErrClosed)
+	}
 	lendReq := &wire.LendRequest{Limit: int64(timeout), Values: values.Pairs(), Question: requestToWire(req), Last: last}
-	streamTimeout := timeout + transitAllowance
+	streamTimeout := timeout
+	retryable := b.openParams != nil && !req.Writes
 	if b.openParams != nil {
 		lendReq.Group, lendReq.Instance, lendReq.Rank, lendReq.Database, lendReq.Patience = b.openParams.Group, b.openParams.Instance, b.openParams.Rank, b.openParams.Database, b.openParams.Patience
-		streamTimeout += time.Duration(b.openParams.Patience)
+		streamTimeout = max(timeout, time.Duration(b.openParams.Patience))
+		if retryable {
+			streamTimeout = timeout + time.Duration(b.openParams.Patience)
+		}
 		b.openParams = nil
 	}
-	if err := b.stream.SetDeadline(time.Now().Add(streamTimeout)); err != nil {
+	if err := b.stream.SetDeadline(time.Now().Add(streamTimeout + transitAllowance)); err != nil {
 		return flow.Answer{}, flow.Unsent, err
 	}
 	if err := b.stream.Send(lendReq); err != nil {
-		return flow.Answer{}, flow.Sent, err
+		return flow.Answer{}, flow.Sent, fmt.Errorf("lender %s: %w", b.addr, err)
 	}
 	reply := &wire.LendReply{}
-	if err := b.receive(reply, req.Writes); err != nil {
+	if err := b.receive(reply, retryable); err != nil {
 		b.borrower.checkHost(b.addr, b.stream)
-		return flow.Answer{}, flow.Sent, err
+		return flow.Answer{}, flow.Sent, fmt.Errorf("lender %s: %w", b.addr, err)
 	}
 	if reply.Error != "" {
 		b.returned = true
-		return flow.Answer{}, flow.Stage(reply.Stage), errors.New("lender: " + reply.Error)
+		return flow.Answer{}, flow.Stage(reply.Stage), fmt.Errorf("lender %s: %s", b.addr, reply.Error)
 	}
 	a := flow.Answer{
 		Rows: reply.Rows, Proof: reply.Proof, Code: flow.Code(reply.Code), Text: reply.Text, State: flow.State(reply.State),
@@ -496,16 +550,17 @@
 	return a, flow.Answered, nil
 }
 
-// receive waits for the answer. A read is abandoned as soon as the lending host fails a ping, since
-// it can be retried elsewhere. A write waits until the stream's deadline.
-func (b *borrowedConn) receive(reply *wire.LendReply, writes bool) error {
+// receive waits for the answer. A request that can be tried elsewhere is abandoned as soon as the
+// lending host fails a ping. Others, writes and requests in transactions, wait until the stream's
+// deadline.
+func (b *borrowedConn) receive(reply *wire.LendReply, retryable bool) error {
 	var mu sync.Mutex
 	ended := false
 	timer := time.AfterFunc(pingAfter, func() {
 		alive := b.borrower.ping(b.addr, b.stream)
 		mu.Lock()
 		defer mu.Unlock()
-		if !alive && !writes && !ended {
+		if !alive && retryable && !ended {
 			_ = b.stream.SetDeadline(time.Now())
 		}
 	})
