--- a/internal/tools/story/story.go
+++ b/internal/tools/story/story.go
@@ -11,6 +11,7 @@
 	"sort"
 	"time"
 
+	"github.com/agatespindle/agatespindle/internal/traffic/drain"
 	"github.com/agatespindle/agatespindle/internal/traffic/sess"
 )
 
@@ -121,7 +122,7 @@
 			l.field("code"), l.field("kind"), l.field("instance"), l.field("cause"), l.field("wrote"))
 	case sess.EventCallerLeft:
 		return fmt.Sprintf("caller left after %s, before the answer", l.field("took"))
-	case sess.EventCut:
+	case drain.EventCut:
 		return fmt.Sprintf("host closed the caller's connection: request running: %s (for %s), %s bytes of answers not sent, %s bytes of messages not handled; draining for %s",
 			l.field("busy"), l.field("took"), l.field("unsent"), l.field("unhandled"), l.field("draining"))
 	case sess.EventServed:
@@ -160,7 +161,7 @@
 			outcome = "ended with " + l.field("code")
 		case sess.EventCallerLeft:
 			outcome = "its caller left before the answer"
-		case sess.EventCut:
+		case drain.EventCut:
 			outcome = "its host closed the connection before the answer was sent"
 		case sess.EventServed:
 			outcome = "answered"
--- a/internal/traffic/entry/session__end.go
+++ b/internal/traffic/entry/session__end.go
@@ -166,3 +166,12 @@
 	}
 	return n
 }
+
+// logCut logs the connection if the host closes it while it owes its caller something. The event loop
+// must call it before the connection is released.
+func (s *session) logCut(now time.Time) {
+	s.mu.Lock()
+	cut := drain.Cut{Caller: s.user, Running: s.busy && !s.ended, StartedAt: s.startedAt, OpenedAt: s.openedAt, Unsent: s.conn.OutboundBuffered(), Unhandled: s.conn.InboundBuffered()}
+	s.mu.Unlock()
+	cut.Log(now, s.srv.drainSchedule(), s.srv.Log, s.srv.Meter)
+}
--- a/internal/traffic/front/caller.go
+++ b/internal/traffic/front/caller.go
@@ -431,6 +431,15 @@
 	}
 }
 
+// logCut logs the connection if the host closes it while it owes its caller something. The event loop
+// must call it before the connection is released.
+func (c *caller) logCut(now time.Time) {
+	c.mu.Lock()
+	cut := drain.Cut{Request: c.running, Running: c.busy && !c.abandoned, StartedAt: c.startedAt, OpenedAt: c.connectedAt, Unsent: c.conn.OutboundBuffered(), Unhandled: c.conn.InboundBuffered()}
+	c.mu.Unlock()
+	cut.Log(now, c.srv.drainSchedule(), c.srv.Log, c.srv.Meter)
+}
+
 // expireTransaction rolls back a transaction that has exceeded its idle timeout.
 func (c *caller) expireTransaction(now time.Time) {
 	c.mu.Lock()
--- a/internal/traffic/front/cutlog_test.go
+++ b/internal/traffic/front/cutlog_test.go
@@ -12,8 +12,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/agatespindle/agatespindle/internal/base/logs"
+	"github.com/agatespindle/agatespindle/internal/traffic/drain"
 	"github.com/agatespindle/agatespindle/internal/traffic/front"
-	"github.com/agatespindle/agatespindle/internal/traffic/sess"
 )
 
 // syncBuffer is a buffer for the log lines of several goroutines.
@@ -50,7 +50,7 @@
 		time.Sleep(300 * time.Millisecond)
 		h.stop()
 		Convey("The log names the request and says how much was not sent", func() {
-			So(out.String(), ShouldContainSubstring, sess.EventCut)
+			So(out.String(), ShouldContainSubstring, drain.EventCut)
 			So(out.String(), ShouldContainSubstring, `"request":"17"`)
 			So(h.Meter.CounterValue("callers.cut"), ShouldEqual, int64(1))
 		})
--- a/internal/traffic/sess/requestlog.go
+++ b/internal/traffic/sess/requestlog.go
@@ -21,9 +21,6 @@
 	// EventCallerLeft is a statement whose caller closed the connection before the answer, for
 	// instance because its deadline had passed.
 	EventCallerLeft = "caller left"
-	// EventCut is a connection that the host closed although it owed its caller an answer. The request is
-	// the running one, or the last one.
-	EventCut = "caller connection cut"
 	// EventServed is a successful statement; only a sample of these is logged.
 	EventServed = "request served"
 )
