--- a/internal/traffic/lend/lend.go
+++ b/internal/traffic/lend/lend.go
@@ -107,7 +107,7 @@
 	}
 	s.lender.begin(s.lender.Now(), s)
 	defer s.lender.finish(s)
-	abandoned := time.Now().Add(max(time.Duration(req.Limit), time.Duration(req.Patience)) + transitAllowance)
+	abandoned := time.Now().Add(time.Duration(req.Limit) + time.Duration(req.Patience) + transitAllowance)
 	reply := s.answer(ctx, req)
 	if err := s.send(reply, abandoned); err != nil {
 		s.logCut("borrower", err)
