entry: Close ended connections after 3 s without progress in the kernel

Cause: an ended session waited for the caller's system to acknowledge the last bytes for as long as a reader may take for bytes in the host's own buffer.

Fix: once all bytes are in the kernel's buffer, 3 s without progress are enough. The kernel goes on sending them after the close.

--- a/internal/tools/host/deployment_test.go
+++ b/internal/tools/host/deployment_test.go
@@ -36,8 +36,9 @@
 
 // deployment is a control host, entry hosts and a backend server in one process.
 type deployment struct {
-	t     *testing.T
-	hosts map[string]*runningHost
+	t           *testing.T
+	hosts       map[string]*runningHost
+	readTimeout time.Duration
 }
 
 // runningHost is a host with the means to stop it.
@@ -53,7 +54,13 @@
 // callers are served by each entry host.
 func startDeployment(t *testing.T, entryHosts int, drainLimit time.Duration) *deployment {
 	t.Helper()
-	d := &deployment{t: t, hosts: map[string]*runningHost{}}
+	return startWithReadTimeout(t, entryHosts, drainLimit, readTimeout)
+}
+
+// startWithReadTimeout is startDeployment with another timeout for callers that do not read.
+func startWithReadTimeout(t *testing.T, entryHosts int, drainLimit, timeout time.Duration) *deployment {
+	t.Helper()
+	d := &deployment{t: t, hosts: map[string]*runningHost{}, readTimeout: timeout}
 	control := d.config("control-1", conf.RoleControl)
 	control.ControlPeers = []conf.Peer{{Host: control.Host, LinkAddr: control.LinkAddr}}
 	d.start(control)
@@ -117,7 +124,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	r := &runningHost{Host: h, name: cfg.Host, log: log, stop: stop, done: make(chan error, 1)}
 	if h.Entry != nil {
-		h.Entry.ReadTimeout = readTimeout
+		h.Entry.ReadTimeout = d.readTimeout
 	}
 	d.hosts[cfg.Host] = r
 	go func() { r.done <- h.Run(ctx) }()
--- a/internal/tools/host/reader_test.go
+++ b/internal/tools/host/reader_test.go
@@ -45,3 +45,19 @@
 		So(time.Since(started), ShouldBeGreaterThan, readTimeout)
 	})
 }
+
+// TestDrainDoesNotWaitForCallersThatDoNotRead guards against drains that last until their limit because a
+// caller is gone or does not read: the kernel goes on delivering what it has.
+func TestDrainDoesNotWaitForCallersThatDoNotRead(t *testing.T) {
+	Convey("A host stops although a caller has not read its answer, which arrives all the same", t, func() {
+		const limit = 20 * time.Second
+		d := startWithReadTimeout(t, 1, limit, limit)
+		conn, f := d.dialRaw("entry-1")
+		defer conn.Close()
+		send(f, mediumQuery)
+		time.Sleep(300 * time.Millisecond)
+		So(<-d.shutDown("entry-1"), ShouldBeLessThan, limit/3)
+		So(readAnswer(f), ShouldResemble, answer{bytes: mediumBytes})
+		So(readAnswer(f), ShouldResemble, answer{verdict: "NotRun", fatal: true})
+	})
+}
--- a/internal/traffic/entry/session__end.go
+++ b/internal/traffic/entry/session__end.go
@@ -21,6 +21,9 @@
 	// the caller sent before it learned of the end. If they arrived after the close, the kernel would
 	// reset the connection, and callers on some systems would lose the answers that they had not read.
 	lingerTime = 500 * time.Millisecond
+	// deliveryTimeout is how long a connection stays open while its caller's system receives nothing of the
+	// last bytes. The kernel goes on sending them after the close, unless further messages arrive.
+	deliveryTimeout = 3 * time.Second
 	// partialTimeout is how long a drain waits for the rest of a request, or the Sync of a batch, of which
 	// a part has arrived. Nothing of it has run.
 	partialTimeout = time.Second
@@ -136,8 +139,12 @@
 // must call it.
 func (s *session) closeWhenSent(now time.Time) gnet.Action {
 	unsent, unacknowledged := s.conn.OutboundBuffered(), s.unacknowledged()
+	timeout := max(s.srv.readTimeout(), lingerTime)
+	if unsent == 0 {
+		timeout = min(timeout, deliveryTimeout)
+	}
 	switch {
-	case s.progress.Stalled(now, unsent+unacknowledged, max(s.srv.readTimeout(), lingerTime)):
+	case s.progress.Stalled(now, unsent+unacknowledged, timeout):
 		return gnet.Close
 	case !s.written || unsent > 0:
 		return gnet.None
