--- a/internal/traffic/entry/session__end.go
+++ b/internal/traffic/entry/session__end.go
@@ -36,7 +36,7 @@
 	written bool
 	// shutAt is when the last byte was sent and the sending side of the connection closed, or zero.
 	shutAt   time.Time
-	progress readProgress
+	progress drain.Progress
 }
 
 // end ends the session with a FATAL error response, or without one if e is nil. mu must be held.
@@ -137,7 +137,7 @@
 func (s *session) closeWhenSent(now time.Time) gnet.Action {
 	unsent, unacknowledged := s.conn.OutboundBuffered(), s.unacknowledged()
 	switch {
-	case s.progress.stalled(now, unsent+unacknowledged, max(s.srv.readTimeout(), lingerTime)):
+	case s.progress.Stalled(now, unsent+unacknowledged, max(s.srv.readTimeout(), lingerTime)):
 		return gnet.Close
 	case !s.written || unsent > 0:
 		return gnet.None
@@ -160,7 +160,18 @@
 func (s *session) unacknowledged() int {
 	_, n, err := sock.Pending(s.conn.Fd())
 	if err != nil {
+		s.srv.Meter.AddCounter("callers.pending.unknown", 1)
+		s.srv.Log.WithError(err).Debug("kernel does not tell what is pending on a caller connection")
 		return 0
 	}
 	return n
 }
+
+// logCut logs the connection if the host closes it while it owes its caller something. The event loop
+// must call it before the connection is released.
+func (s *session) logCut(now time.Time) {
+	s.mu.Lock()
+	cut := drain.Cut{Caller: s.user, Running: s.busy && !s.ended, StartedAt: s.startedAt, OpenedAt: s.openedAt, Unsent: s.conn.OutboundBuffered(), Unhandled: s.conn.InboundBuffered()}
+	s.mu.Unlock()
+	cut.Log(now, s.srv.drainSchedule(), s.srv.Log, s.srv.Meter)
+}
