--- a/internal/base/link/link.go
+++ b/internal/base/link/link.go
@@ -18,6 +18,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/agatespindle/agatespindle/internal/base/clock"
+	"github.com/agatespindle/agatespindle/internal/base/logs"
+	"github.com/agatespindle/agatespindle/internal/base/meter"
 	"github.com/agatespindle/agatespindle/internal/base/wire"
 )
 
@@ -461,6 +463,14 @@
 	go d.closeWhenUnused(addr, session)
 }
 
+// ReportSilent returns a function for Dialer.OnSilent that logs and counts the closed connections.
+func ReportSilent(l *logs.Logger, m *meter.Meter) func(addr string, streams int) {
+	return func(addr string, streams int) {
+		m.AddCounter("link.silent", 1)
+		l.WithField("addr", addr).WithField("streams", streams).Warn("connection to a silent host closed")
+	}
+}
+
 // closeWhenUnused closes a retired session once its streams have ended or the other host is silent. It
 // ends when the session is closed.
 func (d *Dialer) closeWhenUnused(addr string, session *yamux.Session) {
--- a/internal/tools/host/host.go
+++ b/internal/tools/host/host.go
@@ -98,6 +98,7 @@
 	cfg := opt.Config
 	h := &Host{Config: cfg, opt: opt, Meter: meter.New(), dialer: &link.Dialer{Host: cfg.Host, Dial: opt.Dial}}
 	h.Log = logs.New(logs.Options{Out: opt.Log, Host: cfg.Host, Roles: roleNames(cfg), Level: cfg.LogLevel})
+	h.dialer.OnSilent = link.ReportSilent(h.Log, h.Meter)
 	h.Kernel = &kernel.Kernel{DrainLimit: cfg.DrainTimeout.Std(), Ready: opt.Ready}
 	if opt.Server == nil {
 		h.opt.Server = func(addr, group string) adapt.Server { return adapt.Postgres(addr, ProxyUser, group) }
--- a/internal/tools/node/node.go
+++ b/internal/tools/node/node.go
@@ -102,7 +102,7 @@
 	cfg := opt.Settings
 	n := &Node{opt: opt, cfg: cfg, Meter: meter.New(), dialer: &link.Dialer{Host: cfg.Host, Timeout: linkDialTimeout, Dial: opt.Dial}}
 	n.Log = logs.New(logs.Options{Out: opt.Log, Host: cfg.Host, Roles: n.roles(), Level: opt.Level})
-	n.dialer.OnSilent = n.recordSilentHost
+	n.dialer.OnSilent = link.ReportSilent(n.Log, n.Meter)
 	n.Kernel = &kernel.Kernel{DrainLimit: cfg.GracePeriod() - stopMargin, StopLimit: stopMargin}
 	ln, err := net.Listen("tcp", cfg.LinkAddr())
 	if err != nil {
@@ -175,12 +175,6 @@
 	return func(ctx context.Context) (<-chan error, error) { return run(ctx), nil }
 }
 
-// recordSilentHost logs a connection to another host that was closed with its streams.
-func (n *Node) recordSilentHost(addr string, streams int) {
-	n.Meter.AddCounter("link.silent", 1)
-	n.Log.WithField("addr", addr).WithField("streams", streams).Warn("connection to a silent host closed")
-}
-
 // startLink accepts connections from other hosts; outgoing ones are closed when ctx ends.
 func (n *Node) startLink(ctx context.Context) (<-chan error, error) {
 	context.AfterFunc(ctx, n.dialer.Close)
