pool: Wait in a test until its statements have arrived

It went on when the instance had accepted the connections; on a busy machine the last statement had not been sent then, and was withheld, as it should be.

--- a/internal/traffic/pool/leaving_test.go
+++ b/internal/traffic/pool/leaving_test.go
@@ -22,7 +22,7 @@
 // instance in time and reach it after its deadline.
 func TestRequestsThatWaitedAreWithheldFromLeavingInstance(t *testing.T) {
 	Convey("Given an instance with two slots", t, func() {
-		g := &mimic.Group{Name: "g", MaxConns: 100, Slots: slots, QueueLimit: 4, StatementTime: longServiceTime}
+		g := &mimic.Group{Name: "g", MaxConns: 100, Slots: slots, QueueLimit: 4, StatementTime: longServiceTime, RecordRuns: true}
 		in, err := g.Start("i", "127.0.0.1:0", "a")
 		So(err, ShouldBeNil)
 		t.Cleanup(in.Crash)
@@ -51,7 +51,14 @@
 					codes <- a.Code
 				}()
 			}
-			for in.Conns() < slots+1 {
+			arrived := func() int {
+				n := 0
+				for i := range 4 {
+					n += len(g.Runs(fmt.Sprint("s", i)))
+				}
+				return n
+			}
+			for arrived() < slots+1 {
 				time.Sleep(time.Millisecond)
 			}
 			leaveNow()
