--- a/internal/traffic/front/caller.go
+++ b/internal/traffic/front/caller.go
@@ -35,8 +35,10 @@
 	startedAt time.Time
 	// fallback is the answer to the running statement if it does not end in time; nil if none runs.
 	fallback *flow.Answer
-	// abandoned is set once fallback has been sent. The statement may still run and use the session, so
-	// that later messages are refused.
+	// overdue is set once fallback is on its way to the event loop; the statement's own answer is dropped.
+	overdue bool
+	// abandoned is set once fallback has been written. The statement may still run and use the session,
+	// so that later messages are refused.
 	abandoned bool
 	// abandonedState is the transaction state that the caller was told last, once abandoned is set.
 	abandonedState flow.State
@@ -49,12 +51,17 @@
 	blocked bool
 	// used is set once a statement has arrived.
 	used bool
-	// refusals is the number of bytes of refusals, because the host drains, since the last other answer.
-	refusals int
+	// refusingSince is when a statement was first refused because the host drains. From then on nothing is
+	// started: a statement sent ahead may belong to what was refused.
+	refusingSince time.Time
+	// lateRefusals is the number of bytes of refusals of statements that arrived well after that.
+	lateRefusals int
 	// sendsAhead is set once the caller has sent a statement before the answer to the last one.
 	sendsAhead bool
 	// shedding is set once the connection is to be closed as soon as it is idle.
 	shedding bool
+	// flood is set once the caller has sent too much ahead.
+	flood bool
 	// ending is set once no further message is handled: the connection is closed when all answers have
 	// been sent.
 	ending bool
@@ -86,7 +93,10 @@
 		return nil, false
 	}
 	b, err := c.conn.Peek(-1)
-	if c.busy && !c.abandoned {
+	if c.flooded() {
+		return nil, false
+	}
+	if (c.busy || c.overdue) && !c.abandoned {
 		c.sendsAhead = c.sendsAhead || c.used && len(b) > 0
 		return nil, false
 	}
@@ -115,6 +125,31 @@
 	return c.handleMessage(now, m), true
 }
 
+// maxUnhandled is the number of bytes of messages that a caller may send ahead, a few of the largest ones.
+const maxUnhandled = 4 << 20
+
+// flooded reports whether the caller has sent more ahead than maxUnhandled. What it has sent is dropped
+// then, and the connection is closed after the answer to the running statement. c.mu must be held, and
+// the event loop must call it.
+func (c *caller) flooded() bool {
+	if !c.flood && c.conn.InboundBuffered() > maxUnhandled {
+		reason := "refused.flood"
+		if c.blocked {
+			reason = "refused.unread"
+		}
+		c.srv.Meter.AddCounter(reason, 1)
+		c.flood = true
+	}
+	if !c.flood {
+		return false
+	}
+	_, _ = c.conn.Discard(-1)
+	if !c.busy {
+		c.end()
+	}
+	return true
+}
+
 // awaitsReader reports whether a message waits until the caller has read more of the answers before it. A
 // caller that stops reading is disconnected. c.mu must be held, and the event loop must call it.
 func (c *caller) awaitsReader(now time.Time) bool {
@@ -143,7 +178,7 @@
 	}
 	if c.ending {
 		unsent := c.conn.OutboundBuffered()
-		if unsent > 0 && !c.reading.Stalled(now, unsent, readTimeout) {
+		if unsent > 0 && !c.flood && !c.reading.Stalled(now, unsent, readTimeout) {
 			return gnet.None
 		}
 		return gnet.Close
@@ -163,7 +198,7 @@
 // event loop must call it.
 func (c *caller) state() drain.Conn {
 	st := drain.Conn{
-		Opened: c.connectedAt, Used: c.used, Running: c.busy, Received: c.conn.InboundBuffered(), Unsent: c.conn.OutboundBuffered(),
+		Opened: c.connectedAt, Used: c.used, Running: c.busy || c.overdue, Received: c.conn.InboundBuffered(), Unsent: c.conn.OutboundBuffered(),
 	}
 	if c.abandoned {
 		st.Running = false
@@ -189,12 +224,14 @@
 		c.srv.Log.WithField("error", err.Error()).Debug("kernel does not tell what is pending on a caller connection")
 		return
 	}
-	switch {
-	case c.refusals > 0:
-		// Such a caller may never stop sending. Only refusals may be dropped: nothing of them has run.
-		st.Unsent = max(0, st.Unsent+unsent-c.refusals)
-	case c.sendsAhead || unsent > initialWindow:
-		st.Received, st.Unsent = st.Received+received, st.Unsent+unsent
+	if c.lateRefusals > 0 {
+		// Such a caller may never stop sending. Only its late refusals may be dropped.
+		st.Unsent = max(0, st.Unsent+unsent-c.lateRefusals)
+		return
+	}
+	st.Received += received
+	if c.sendsAhead || unsent > initialWindow {
+		st.Unsent += unsent
 	}
 }
 
@@ -217,7 +254,7 @@
 	case m.Startup != nil:
 		return c.handleStartup(now, m.Startup)
 	case c.abandoned:
-		return c.refuseAfterAbandoned(*m.Statement)
+		return c.refuseAfterAbandoned(now, *m.Statement)
 	case c.session == nil:
 		c.srv.Meter.AddCounter("refused.nosession", 1)
 		c.end()
@@ -233,10 +270,9 @@
 		c.sendsAhead = true
 	}
 	c.used = true
-	if c.refuses(now, st) {
-		return c.refuse(c.session.Refuse(st))
+	if !c.refusingSince.IsZero() || c.refuses(now, st) {
+		return c.refuse(now, c.session.Refuse(st))
 	}
-	c.refusals = 0
 	if a, ok := c.session.RunLocal(now, st); ok {
 		c.out = c.srv.Codec.AppendAnswer(c.out[:0], a)
 		return c.out
@@ -260,21 +296,30 @@
 	return false
 }
 
+// settleTime is how long after the first refusal the caller may still have statements refused that it sent
+// long before and that waited for the ones before them.
+const settleTime = 100 * time.Millisecond
+
 // refuse returns the encoded answer to a statement that is not started because the host drains. c.mu must
 // be held.
-func (c *caller) refuse(a flow.Answer) []byte {
+func (c *caller) refuse(now time.Time, a flow.Answer) []byte {
 	c.srv.Meter.AddCounter("refused.draining", 1)
 	out := c.srv.Codec.AppendAnswer(nil, a)
-	c.refusals += len(out)
+	if c.refusingSince.IsZero() {
+		c.refusingSince = now
+	}
+	if now.Sub(c.refusingSince) > settleTime {
+		c.lateRefusals += len(out)
+	}
 	return out
 }
 
 // refuseAfterAbandoned refuses a statement that follows an abandoned one. c.mu must be held.
-func (c *caller) refuseAfterAbandoned(st flow.Statement) []byte {
+func (c *caller) refuseAfterAbandoned(now time.Time, st flow.Statement) []byte {
 	if st.Kind == flow.Commit || st.Kind == flow.Rollback {
 		c.abandonedState = flow.Idle
 	}
-	return c.refuse(flow.ErrorAnswer(flow.Busy, c.abandonedState, "host is shutting down"))
+	return c.refuse(now, flow.ErrorAnswer(flow.Busy, c.abandonedState, "host is shutting down"))
 }
 
 // handleStartup opens a session. On a host that has just started it holds the startup message for a
@@ -353,7 +398,7 @@
 	if c.closed {
 		c.session.CallerLeft(c.srv.Now(), started, st)
 	}
-	if c.abandoned {
+	if c.overdue {
 		c.mu.Unlock()
 		c.finish()
 		return
@@ -375,10 +420,20 @@
 		return
 	}
 	c.srv.Meter.AddCounter("refused.overdue", 1)
-	c.abandoned, c.abandonedState = true, c.fallback.State
+	c.overdue, c.abandonedState = true, c.fallback.State
 	out := c.srv.Codec.AppendAnswer(nil, *c.fallback)
 	c.fallback = nil
-	if err := c.conn.AsyncWrite(out, func(gnet.Conn, error) error { return c.conn.Wake(nil) }); err != nil {
+	err := c.conn.AsyncWrite(out, func(_ gnet.Conn, err error) error {
+		if err != nil {
+			c.srv.Log.WithField("error", err.Error()).WithField("request", c.running).Info("answer to an overdue statement could not be sent")
+		}
+		// Only now: the refusal of a later message must not overtake this answer.
+		c.mu.Lock()
+		c.abandoned = true
+		c.mu.Unlock()
+		return c.conn.Wake(nil)
+	})
+	if err != nil {
 		c.srv.Log.WithField("error", err.Error()).WithField("request", c.running).Info("answer to an overdue statement could not be sent")
 	}
 }
@@ -410,7 +465,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = false
-	if (c.closed || c.abandoned) && c.session != nil {
+	if (c.closed || c.overdue) && c.session != nil {
 		c.session.Close()
 		c.session = nil
 	}
