link: Keep the other streams when one cannot be opened

Cause: the connection was closed with all its streams. It gets no new streams now and ends with its last one, or when the other host leaves a ping unanswered, as after an unanswered lease stream.

TestFailedOpeningKeepsOtherStreams failed before (broken pipe).

--- a/internal/base/link/link.go
+++ b/internal/base/link/link.go
@@ -326,14 +326,14 @@
 	raw, err := openStream(ctx, session)
 	if err != nil {
 		if ctx.Err() == nil {
-			d.dropSession(addr, session)
+			d.retire(addr, session)
 		}
 		return nil, fmt.Errorf("open stream to %s: %w", addr, err)
 	}
 	c := newConn(raw)
 	if err := c.Send(&wire.Hello{Service: service, Host: host}); err != nil {
 		raw.Close()
-		d.dropSession(addr, session)
+		d.retire(addr, session)
 		return nil, err
 	}
 	return c, nil
@@ -435,24 +435,24 @@
 	return session
 }
 
-// dropSession closes a failed session, so that the next stream opens a new one.
-func (d *Dialer) dropSession(addr string, session *yamux.Session) {
-	session.Close()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.sessions[addr] == session {
-		delete(d.sessions, addr)
-	}
-}
-
 // RetireSession makes the next stream to addr open a new connection. It is used when a stream has
 // received nothing for too long. The connection may be dead, but the cause may also be the service:
 // as long as the other host answers pings, the other streams on the connection go on.
 func (d *Dialer) RetireSession(addr string) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	session := d.sessions[addr]
-	if session == nil {
+	d.mu.Unlock()
+	if session != nil {
+		d.retire(addr, session)
+	}
+}
+
+// retire makes the next stream to addr open a new connection if session is the present one. The streams on
+// session go on.
+func (d *Dialer) retire(addr string, session *yamux.Session) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.sessions[addr] != session {
 		return
 	}
 	delete(d.sessions, addr)
--- a/internal/base/link/retire_test.go
+++ b/internal/base/link/retire_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/yamux"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/agatespindle/agatespindle/internal/base/link"
@@ -88,3 +89,44 @@
 		})
 	})
 }
+
+// TestFailedOpeningKeepsOtherStreams guards against answers that are lost because another stream to the same
+// host could not be opened.
+func TestFailedOpeningKeepsOtherStreams(t *testing.T) {
+	Convey("Given a stream on a connection that takes no new ones", t, func() {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer ln.Close()
+		sessions := make(chan *yamux.Session, 1)
+		go func() {
+			raw, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			session, err := yamux.Server(raw, yamux.DefaultConfig())
+			if err == nil {
+				sessions <- session
+			}
+		}()
+		d := &link.Dialer{Host: "h"}
+		defer d.Close()
+		c, err := d.Open(t.Context(), ln.Addr().String(), "slow")
+		So(err, ShouldBeNil)
+		session := <-sessions
+		defer session.Close()
+		stream, err := session.AcceptStream()
+		So(err, ShouldBeNil)
+		So(session.GoAway(), ShouldBeNil)
+		for err == nil {
+			time.Sleep(time.Millisecond)
+			_, err = d.Open(t.Context(), ln.Addr().String(), "slow")
+		}
+		Convey("It still gets its answer", func() {
+			// An empty message.
+			_, err := stream.Write([]byte{0})
+			So(err, ShouldBeNil)
+			So(c.SetDeadline(time.Now().Add(time.Second)), ShouldBeNil)
+			So(c.Recv(&wire.BootstrapState{}), ShouldBeNil)
+		})
+	})
+}
