front, entry: Share the present schedule and what the kernel tells

Both servers had the same pointer to a schedule and the same lines for a kernel that does not tell what is pending; they use drain.Current and drain.Pending. front asks in one place whether a message waits (occupied), so that a statement whose answer at the limit is not written yet also counts as running in the log of cut connections; it looks up the timeout of a statement only during a drain, not for each statement.

No other behaviour changes.

--- a/internal/traffic/entry/drain.go
+++ b/internal/traffic/entry/drain.go
@@ -30,7 +30,7 @@
 	}
 	now := s.Now()
 	schedule := drain.New(now, 0, length/transactionDivisor, now.Add(length))
-	s.schedule.Store(&schedule)
+	s.drain.Begin(schedule)
 	s.Log.WithField("sessions", s.Sessions()).Info("draining caller connections")
 	for ctx.Err() == nil && s.Sessions() > 0 {
 		overdue := schedule.Overdue(s.Now())
@@ -45,15 +45,7 @@
 }
 
 // Draining reports whether Drain was called.
-func (s *Server) Draining() bool { return s.schedule.Load() != nil }
-
-// drainSchedule returns the schedule of the drain; the zero value if the host does not drain.
-func (s *Server) drainSchedule() drain.Schedule {
-	if p := s.schedule.Load(); p != nil {
-		return *p
-	}
-	return drain.Schedule{}
-}
+func (s *Server) Draining() bool { return s.drain.Schedule().Active() }
 
 func (s *Server) listSessions() []*session {
 	s.mu.Lock()
@@ -101,7 +93,7 @@
 
 // starts reports whether a request is started: a host that drains refuses those that it might have to cut.
 func (s *session) starts(now time.Time, beginsTransaction bool) bool {
-	schedule := s.srv.drainSchedule()
+	schedule := s.srv.drain.Schedule()
 	if beginsTransaction && !schedule.StartsTransaction(now) {
 		return false
 	}
--- a/internal/traffic/entry/entry.go
+++ b/internal/traffic/entry/entry.go
@@ -8,7 +8,6 @@
 	"encoding/binary"
 	mrand "math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -57,8 +56,7 @@
 	engine gnet.Engine
 	// listening is closed once the listener has started.
 	listening chan struct{}
-	// schedule is nil if the host does not drain.
-	schedule atomic.Pointer[drain.Schedule]
+	drain     drain.Current
 	// mu guards sessions, ending, callers and nextPID.
 	mu       sync.Mutex
 	sessions map[uint32]*session
--- a/internal/traffic/entry/session__end.go
+++ b/internal/traffic/entry/session__end.go
@@ -8,7 +8,6 @@
 	"github.com/panjf2000/gnet/v2"
 
 	"github.com/agatespindle/agatespindle/internal/base/fault"
-	"github.com/agatespindle/agatespindle/internal/base/sock"
 	"github.com/agatespindle/agatespindle/internal/traffic/drain"
 	"github.com/agatespindle/agatespindle/internal/traffic/holder"
 )
@@ -110,7 +109,7 @@
 		return s.closeWhenSent(now)
 	case s.failure != nil && !s.busy:
 		s.end(s.failure)
-	case s.srv.drainSchedule().Closes(now, s.state(now)):
+	case s.srv.drain.Schedule().Closes(now, s.state(now)):
 		s.end(s.drainError(fault.NotRun))
 	}
 	return gnet.None
@@ -165,12 +164,7 @@
 // unacknowledged returns the number of sent bytes that the caller's system has not received, or zero if
 // that is not known.
 func (s *session) unacknowledged() int {
-	_, n, err := sock.Pending(s.conn.Fd())
-	if err != nil {
-		s.srv.Meter.AddCounter("callers.pending.unknown", 1)
-		s.srv.Log.WithError(err).Debug("kernel does not tell what is pending on a caller connection")
-		return 0
-	}
+	_, n, _ := drain.Pending(s.conn.Fd(), s.srv.Log, s.srv.Meter)
 	return n
 }
 
@@ -180,5 +174,5 @@
 	s.mu.Lock()
 	cut := drain.Cut{Caller: s.user, Running: s.busy && !s.ended, StartedAt: s.startedAt, OpenedAt: s.openedAt, Unsent: s.conn.OutboundBuffered(), Unhandled: s.conn.InboundBuffered()}
 	s.mu.Unlock()
-	cut.Log(now, s.srv.drainSchedule(), s.srv.Log, s.srv.Meter)
+	cut.Log(now, s.srv.drain.Schedule(), s.srv.Log, s.srv.Meter)
 }
--- a/internal/traffic/front/caller.go
+++ b/internal/traffic/front/caller.go
@@ -95,7 +95,7 @@
 	if c.flooded() {
 		return nil, false
 	}
-	if (c.busy || c.overdue) && !c.abandoned {
+	if c.occupied() {
 		c.sendsAhead = c.sendsAhead || c.used && len(b) > 0
 		return nil, false
 	}
@@ -124,6 +124,10 @@
 	return c.handleMessage(now, m), true
 }
 
+// occupied reports whether the next message waits for the answer to a statement or a startup message.
+// c.mu must be held.
+func (c *caller) occupied() bool { return (c.busy || c.overdue) && !c.abandoned }
+
 // reject returns the error answer to a message that the codec cannot parse.
 func (c *caller) reject(err error) []byte {
 	c.srv.Meter.AddCounter("refused.badmessage", 1)
@@ -175,7 +179,10 @@
 
 // refuses reports whether a statement is not started because the host drains.
 func (c *caller) refuses(now time.Time, st flow.Statement) bool {
-	schedule := c.srv.drainSchedule()
+	schedule := c.srv.drain.Schedule()
+	if !schedule.Active() {
+		return false
+	}
 	switch st.Kind {
 	case flow.Begin, flow.BeginRead:
 		return !schedule.StartsTransaction(now)
@@ -238,7 +245,7 @@
 	if !ok {
 		return c.refuseStartup("nodatabase", flow.ErrorAnswer(flow.NoDatabase, flow.Idle, startup.Database))
 	}
-	if !c.srv.drainSchedule().StartsRequest(now, session.Timeout(), false) {
+	if !c.srv.drain.Schedule().StartsRequest(now, session.Timeout(), false) {
 		return c.refuseStartup("draining", flow.ErrorAnswer(flow.Busy, flow.Idle, "host is shutting down"))
 	}
 	c.session = session
--- a/internal/traffic/front/caller__close.go
+++ b/internal/traffic/front/caller__close.go
@@ -5,7 +5,6 @@
 
 	"github.com/panjf2000/gnet/v2"
 
-	"github.com/agatespindle/agatespindle/internal/base/sock"
 	"github.com/agatespindle/agatespindle/internal/traffic/drain"
 	"github.com/agatespindle/agatespindle/internal/traffic/flow"
 )
@@ -68,7 +67,7 @@
 		}
 		return gnet.Close
 	}
-	schedule := c.srv.drainSchedule()
+	schedule := c.srv.drain.Schedule()
 	if !c.shedding && !schedule.ClosesIdle(now) {
 		return gnet.None
 	}
@@ -83,10 +82,7 @@
 // event loop must call it.
 func (c *caller) state() drain.Conn {
 	st := drain.Conn{
-		Opened: c.connectedAt, Used: c.used, Running: c.busy || c.overdue, Received: c.conn.InboundBuffered(), Unsent: c.conn.OutboundBuffered(),
-	}
-	if c.abandoned {
-		st.Running = false
+		Opened: c.connectedAt, Used: c.used, Running: c.occupied(), Received: c.conn.InboundBuffered(), Unsent: c.conn.OutboundBuffered(),
 	}
 	// The session of a running statement belongs to its goroutine.
 	if !st.Running {
@@ -103,10 +99,8 @@
 // the close, the kernel resets the connection and drops what it has not sent. A caller that sends one
 // statement at a time has read the last answer by then, unless that was too large to be sent at once.
 func (c *caller) addPending(st *drain.Conn) {
-	received, unsent, err := sock.Pending(c.conn.Fd())
-	if err != nil {
-		c.srv.Meter.AddCounter("callers.pending.unknown", 1)
-		c.srv.Log.WithField("error", err.Error()).Debug("kernel does not tell what is pending on a caller connection")
+	received, unsent, ok := drain.Pending(c.conn.Fd(), c.srv.Log, c.srv.Meter)
+	if !ok {
 		return
 	}
 	if c.lateRefusals > 0 {
@@ -134,19 +128,19 @@
 	c.overdue, c.abandonedState = true, c.fallback.State
 	out := c.srv.Codec.AppendAnswer(nil, *c.fallback)
 	c.fallback = nil
-	err := c.conn.AsyncWrite(out, func(_ gnet.Conn, err error) error {
+	report := func(err error) {
 		if err != nil {
 			c.srv.Log.WithField("error", err.Error()).WithField("request", c.running).Info("answer to an overdue statement could not be sent")
 		}
+	}
+	report(c.conn.AsyncWrite(out, func(_ gnet.Conn, err error) error {
+		report(err)
 		// Only now: the refusal of a later message must not overtake this answer.
 		c.mu.Lock()
 		c.abandoned = true
 		c.mu.Unlock()
 		return c.conn.Wake(nil)
-	})
-	if err != nil {
-		c.srv.Log.WithField("error", err.Error()).WithField("request", c.running).Info("answer to an overdue statement could not be sent")
-	}
+	}))
 }
 
 // handleClose ends the session of a closed connection. If a statement is running, it makes no further
@@ -168,9 +162,9 @@
 // must call it before the connection is released.
 func (c *caller) logCut(now time.Time) {
 	c.mu.Lock()
-	cut := drain.Cut{Request: c.running, Running: c.busy && !c.abandoned, StartedAt: c.startedAt, OpenedAt: c.connectedAt, Unsent: c.conn.OutboundBuffered(), Unhandled: c.conn.InboundBuffered()}
+	cut := drain.Cut{Request: c.running, Running: c.occupied(), StartedAt: c.startedAt, OpenedAt: c.connectedAt, Unsent: c.conn.OutboundBuffered(), Unhandled: c.conn.InboundBuffered()}
 	c.mu.Unlock()
-	cut.Log(now, c.srv.drainSchedule(), c.srv.Log, c.srv.Meter)
+	cut.Log(now, c.srv.drain.Schedule(), c.srv.Log, c.srv.Meter)
 }
 
 // enforceTimeouts closes the connection, after its last answer, if a message, or the startup message,
@@ -209,7 +203,7 @@
 func (c *caller) closeWhenIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.closed && (!c.busy || c.abandoned) {
+	if !c.closed && !c.occupied() {
 		c.wake()
 	}
 }
--- a/internal/traffic/front/front.go
+++ b/internal/traffic/front/front.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -117,9 +116,8 @@
 	callers map[*caller]struct{}
 	// drained is set once no connection is left during a drain; new ones are refused from then on.
 	drained bool
-	// schedule is nil if the host does not drain.
-	schedule atomic.Pointer[drain.Schedule]
-	wg       sync.WaitGroup
+	drain   drain.Current
+	wg      sync.WaitGroup
 }
 
 var _ gnet.EventHandler = (*Server)(nil)
@@ -258,22 +256,14 @@
 	return s.drained
 }
 
-// drainSchedule returns the schedule of the drain; the zero value if the host does not drain.
-func (s *Server) drainSchedule() drain.Schedule {
-	if p := s.schedule.Load(); p != nil {
-		return *p
-	}
-	return drain.Schedule{}
-}
-
 // Drain closes connections by the rules of package drain: idle ones after DrainDelay, those with a
 // transaction when it ends or after TransactionLimit, and those with a running statement after its
 // answer. Statements that still run shortly before ctx ends are answered as possibly run. It returns
 // when no connection is left or ctx is done.
 func (s *Server) Drain(ctx context.Context) {
 	started := s.Now()
-	schedule := drain.New(started, s.DrainDelay, s.TransactionLimit, deadlineOf(ctx, started))
-	s.schedule.Store(&schedule)
+	schedule := drain.New(started, s.DrainDelay, s.TransactionLimit, drain.Deadline(ctx, started))
+	s.drain.Begin(schedule)
 	s.Log.WithField("sessions", len(s.listCallers())).Info("draining caller connections")
 	for ctx.Err() == nil {
 		now := s.Now()
@@ -299,13 +289,3 @@
 		cl.closeWhenIdle()
 	}
 }
-
-// deadlineOf returns the deadline of ctx on the clock of now, which may not be the wall clock; the zero time
-// if ctx has none.
-func deadlineOf(ctx context.Context, now time.Time) time.Time {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		return time.Time{}
-	}
-	return now.Add(time.Until(deadline))
-}
