lend: Work out in one place how long a borrower waits

Borrower and lender each had the rule for reads and writes, and the lender a third, longer one for how long it tries to send an answer: for a write it went on after the borrower had given up. Both use replyLimit now; the arrival of a request is read from the clock once.

--- a/internal/traffic/lend/borrower.go
+++ b/internal/traffic/lend/borrower.go
@@ -193,17 +193,12 @@
 		return flow.Answer{}, flow.Unsent, fmt.Errorf("lender %s: %w", b.addr, net.ErrClosed)
 	}
 	lendReq := &wire.LendRequest{Limit: int64(timeout), Values: values.Pairs(), Question: requestToWire(req), Last: last}
-	streamTimeout := timeout
 	retryable := b.openParams != nil && !req.Writes
 	if b.openParams != nil {
 		lendReq.Group, lendReq.Instance, lendReq.Rank, lendReq.Database, lendReq.Patience = b.openParams.Group, b.openParams.Instance, b.openParams.Rank, b.openParams.Database, b.openParams.Patience
-		streamTimeout = max(timeout, time.Duration(b.openParams.Patience))
-		if retryable {
-			streamTimeout = timeout + time.Duration(b.openParams.Patience)
-		}
 		b.openParams = nil
 	}
-	if err := b.stream.SetDeadline(time.Now().Add(streamTimeout + transitAllowance)); err != nil {
+	if err := b.stream.SetDeadline(time.Now().Add(replyLimit(lendReq) + transitAllowance)); err != nil {
 		return flow.Answer{}, flow.Unsent, err
 	}
 	if err := b.stream.Send(lendReq); err != nil {
--- a/internal/traffic/lend/lend.go
+++ b/internal/traffic/lend/lend.go
@@ -102,10 +102,11 @@
 	if req.Instance != "" {
 		s.instance = req.Instance
 	}
-	s.lender.begin(s.lender.Now(), s)
+	now := s.lender.Now()
+	s.lender.begin(now, s)
 	defer s.lender.finish(s)
-	abandoned := time.Now().Add(time.Duration(req.Limit) + time.Duration(req.Patience) + transitAllowance)
-	reply := s.answer(ctx, req)
+	abandoned := time.Now().Add(replyLimit(req) + transitAllowance)
+	reply := s.answer(ctx, now, req)
 	if err := s.send(reply, abandoned); err != nil {
 		s.logCut("borrower", err)
 		return false
@@ -128,11 +129,10 @@
 	return s.conn.SetDeadline(time.Time{})
 }
 
-// answer runs a request, on a connection that it acquires unless one is lent already, and returns the
-// reply.
-func (s *lentStream) answer(ctx context.Context, req *wire.LendRequest) *wire.LendReply {
+// answer runs a request that arrived at a time, on a connection that it acquires unless one is lent
+// already, and returns the reply.
+func (s *lentStream) answer(ctx context.Context, arrived time.Time, req *wire.LendRequest) *wire.LendReply {
 	l := s.lender
-	arrived := l.Now()
 	reply := &wire.LendReply{}
 	if err := l.refusal(arrived, s); err != nil {
 		s.rollback()
@@ -153,16 +153,24 @@
 	return reply
 }
 
-// timeLimit returns the time limit of a request that has waited for a connection. The limit of a write
-// counts from when the borrower sent it; that of a read is for the answer alone, since it can be tried
-// elsewhere.
+// replyLimit returns how long a borrower waits for the reply to a request, without the time in the network.
+// The limit of a write counts from when the borrower sent it; that of a read is for the answer alone,
+// after the wait for a connection, since it can be tried elsewhere.
+func replyLimit(req *wire.LendRequest) time.Duration {
+	limit, patience := time.Duration(req.Limit), time.Duration(req.Patience)
+	if req.Question.GetWrites() {
+		return max(limit, patience)
+	}
+	return limit + patience
+}
+
+// timeLimit returns the time limit of a request that has waited for a connection.
 func timeLimit(req *wire.LendRequest, waited time.Duration) time.Duration {
 	limit := time.Duration(req.Limit)
 	if !req.Question.GetWrites() {
 		return limit
 	}
-	left := max(limit, time.Duration(req.Patience)) - waited
-	return min(limit, max(left, minLimit))
+	return min(limit, max(replyLimit(req)-waited, minLimit))
 }
 
 // setHandle sets the lent connection and counts it.
