--- a/internal/tools/node/cluster_integration_test.go
+++ b/internal/tools/node/cluster_integration_test.go
@@ -264,25 +264,30 @@
 	declaration := strings.Replace(string(declarationJSON(1)), `"max_conns":16`, fmt.Sprintf(`"max_conns":%d`, c.group.MaxConns), 1)
 	c.eventually("declaration", func() bool { return postDeclaration(c.controlAddr(0), []byte(declaration)) == http.StatusOK })
 	for i := range entryHosts {
-		c.eventually("readiness", func() bool {
-			resp, err := http.Get("http://" + c.readyAddr(i) + "/readyz")
-			if err != nil {
-				return false
-			}
-			resp.Body.Close()
-			return resp.StatusCode == http.StatusOK
-		})
-		c.eventually("first write", func() bool {
-			s, err := openSession(c.callerAddr(i), "orders")
-			if err != nil {
-				return false
-			}
-			defer s.Close()
-			return s.query("WRITE warm 1").ok()
-		})
+		c.awaitEntry(i)
 	}
 }
 
+// awaitEntry waits until entry host i is ready and serves a write.
+func (c *cluster) awaitEntry(i int) {
+	c.eventually("readiness", func() bool {
+		resp, err := http.Get("http://" + c.readyAddr(i) + "/readyz")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+	c.eventually("first write", func() bool {
+		s, err := openSession(c.callerAddr(i), "orders")
+		if err != nil {
+			return false
+		}
+		defer s.Close()
+		return s.query("WRITE warm 1").ok()
+	})
+}
+
 // caller is a caller's session with an entry host.
 type caller struct {
 	net.Conn
--- a/internal/tools/node/drain_integration_test.go
+++ b/internal/tools/node/drain_integration_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -86,26 +85,6 @@
 	return p
 }
 
-// awaitProcess waits until entry host i is ready and serves a write.
-func (c *cluster) awaitProcess(i int) {
-	c.eventually("readiness", func() bool {
-		resp, err := http.Get("http://" + c.readyAddr(i) + "/readyz")
-		if err != nil {
-			return false
-		}
-		resp.Body.Close()
-		return resp.StatusCode == http.StatusOK
-	})
-	c.eventually("first write", func() bool {
-		s, err := openSession(c.callerAddr(i), "orders")
-		if err != nil {
-			return false
-		}
-		defer s.Close()
-		return s.query("WRITE warm 1").ok()
-	})
-}
-
 // startDrainCluster starts a cluster with entry hosts as processes; statements on slow items take
 // nearTimeout.
 func startDrainCluster(t *testing.T, entryHosts int) (*cluster, []*process) {
@@ -125,7 +104,7 @@
 		processes[i] = c.startProcess(i)
 	}
 	for i := range processes {
-		c.awaitProcess(i)
+		c.awaitEntry(i)
 	}
 	return c, processes
 }
--- a/internal/tools/node/traffic.go
+++ b/internal/tools/node/traffic.go
@@ -119,12 +119,19 @@
 // stopLending makes the lender refuse new uses. Lent connections have until ctx ends, less the time to
 // take this host off control's list.
 func (t *traffic) stopLending(ctx context.Context) {
+	ctx, cancel := withReserve(ctx, leaveTimeout)
+	defer cancel()
 	now := clock.Monotonic()
-	var end time.Time
-	if deadline, ok := ctx.Deadline(); ok {
-		end = now.Add(time.Until(deadline) - leaveTimeout)
+	t.lender.StopLending(drain.New(now, 0, t.n.transactionLimit(), drain.Deadline(ctx, now)))
+}
+
+// withReserve returns a context that ends earlier than ctx, if ctx has a deadline.
+func withReserve(ctx context.Context, reserve time.Duration) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
 	}
-	t.lender.StopLending(drain.New(now, 0, t.n.transactionLimit(), end))
+	return context.WithDeadline(ctx, deadline.Add(-reserve))
 }
 
 // withdrawn reports whether all hosts know that this host drains, so that none borrows from it.
@@ -135,22 +142,16 @@
 
 // drainFront ends the connections of callers, and leaves the time to take this host off control's list.
 func (t *traffic) drainFront(ctx context.Context) {
-	if deadline, ok := ctx.Deadline(); ok {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-leaveReserve))
-		defer cancel()
-	}
+	ctx, cancel := withReserve(ctx, leaveReserve)
+	defer cancel()
 	t.front.Drain(ctx)
 }
 
 // drainLender waits until nothing runs on lent connections.
 func (t *traffic) drainLender(ctx context.Context) {
 	t.stopLending(ctx)
-	if deadline, ok := ctx.Deadline(); ok {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-leaveTimeout))
-		defer cancel()
-	}
+	ctx, cancel := withReserve(ctx, leaveTimeout)
+	defer cancel()
 	t.lender.Drain(ctx)
 }
 
--- a/internal/tools/soak/caller.go
+++ b/internal/tools/soak/caller.go
@@ -268,7 +268,7 @@
 	if old != nil {
 		old.conn.Close()
 	}
-	s, err := wl.openSession(rng.IntN(len(wl.callerAddrs)), database, "single")
+	s, err := wl.openSession(rng.IntN(len(wl.callerAddrs)), database, kindSingle)
 	if err != nil {
 		clock.Sleep(ctx, wl.reconnectDelay())
 		return nil
