spec, flow, wire: Declare client accounts and the fields that their parts share

Cause: the platform's manifest declares tenants with keys, a rate and a burst; the product dropped them. The parts that are built side by side (accounts, limits, load reports) need common names first. Nothing uses them yet.

--- a/internal/control/spec/manifest.go
+++ b/internal/control/spec/manifest.go
@@ -31,6 +31,8 @@
 	Groups    []ManifestGroup `json:"groups"`
 	// TransactionIdleTimeout is how long a transaction may stay idle; zero means no limit.
 	TransactionIdleTimeout time.Duration `json:"idle"`
+	// Accounts are the client accounts. If there are none, callers need no key.
+	Accounts []Account `json:"accounts,omitempty"`
 }
 
 // Database is a database that callers connect to by name.
@@ -49,6 +51,8 @@
 	TargetLatency time.Duration `json:"goal"`
 	// Priority orders databases under load; zero is the most urgent.
 	Priority int `json:"rank"`
+	// Public is set for a database that callers may use without a key.
+	Public bool `json:"public,omitempty"`
 }
 
 // ManifestGroup is a database group as a manifest declares it. Its instances announce
--- a/internal/traffic/flow/flow.go
+++ b/internal/traffic/flow/flow.go
@@ -109,11 +109,14 @@
 	// Leaving means that the proxy withheld the statement: the instance has announced that it leaves,
 	// and its deadline for new requests has passed.
 	Leaving
+	// Limited means that the proxy withheld the statement: its client account has used up its allowance.
+	// Other instances withhold it as well.
+	Limited
 )
 
 var codeNames = [...]string{
 	"ok", "busy", "aborted", "behind", "readonly", "misdirected", "toomany", "failed", "nostatement",
-	"timeout", "denied", "nodatabase", "toolarge", "invalid", "indoubt", "crowded", "unknown", "leaving",
+	"timeout", "denied", "nodatabase", "toolarge", "invalid", "indoubt", "crowded", "unknown", "leaving", "limited",
 }
 
 // String returns the name of the code used in metrics and log lines.
@@ -123,7 +126,7 @@
 // transaction, left no effect.
 func (c Code) GuaranteesNoEffect() bool {
 	switch c {
-	case Busy, Aborted, Behind, ReadOnly, Misdirected, TooMany, Overloaded, Leaving:
+	case Busy, Aborted, Behind, ReadOnly, Misdirected, TooMany, Overloaded, Leaving, Limited:
 		return true
 	}
 	return false
@@ -133,7 +136,7 @@
 // run the statement.
 func (c Code) NotRun() bool {
 	switch c {
-	case Busy, NoStatement, Behind, ReadOnly, Misdirected, TooMany, Overloaded, Leaving:
+	case Busy, NoStatement, Behind, ReadOnly, Misdirected, TooMany, Overloaded, Leaving, Limited:
 		return true
 	}
 	return false
@@ -213,8 +216,9 @@
 
 // Codec encodes requests to backend servers and decodes their answers. All fields are required.
 type Codec struct {
-	// AppendStartup appends the startup message of a connection to an instance of a group.
-	AppendStartup func(b []byte, group, instance string) []byte
+	// AppendStartup appends the startup message of a connection to an instance of a group, for a client
+	// account or, if account is empty, for the proxy itself.
+	AppendStartup func(b []byte, group, account, instance string) []byte
 	// ReadStartupAnswer reads the answer to the startup message.
 	ReadStartupAnswer func(r *bufio.Reader) (Answer, error)
 	// AppendRequest appends an encoded request.
--- a/internal/traffic/pool/dial.go
+++ b/internal/traffic/pool/dial.go
@@ -59,7 +59,7 @@
 	setTCPOptions(raw)
 	c := &Conn{raw: raw, r: bufio.NewReaderSize(raw, readBufferSize), pool: p}
 	_ = raw.SetDeadline(time.Now().Add(dialTimeout))
-	if _, err = raw.Write(p.Codec.AppendStartup(nil, p.Group, p.Instance)); err != nil {
+	if _, err = raw.Write(p.Codec.AppendStartup(nil, p.Group, "", p.Instance)); err != nil {
 		raw.Close()
 		return nil, flow.OK, err
 	}
--- a/internal/traffic/pool/pool.go
+++ b/internal/traffic/pool/pool.go
@@ -129,6 +129,8 @@
 	Rank int
 	// Database is the database of the request, or "" for requests of this host itself.
 	Database string
+	// Account is the client account of the request, or "" if it has none.
+	Account string
 }
 
 // UrgentRank is the lowest rank. It goes before all requests of callers.
