kernel, logs: Log the end of services and processes

Change: each host logs its start with its addresses, the request to stop, each service that ends by itself or does not stop in time, and its end with the error; the test prints each process's state before it is killed. Ruled out, from the finding's log: a taken port (the host had led the quorum with all listeners open; a taken one ends the start), an error of a service (its text would be the last line of the log). Left: the process was ended from outside or its listener was closed; not traced.

--- a/internal/base/kernel/kernel.go
+++ b/internal/base/kernel/kernel.go
@@ -32,6 +32,9 @@
 	StopLimit time.Duration
 	// Ready, if set, is called once all services have started.
 	Ready func()
+	// Ended, if set, is called when a service ends before it is stopped, with its error or nil, and when a
+	// service does not stop in time. It may be called from several goroutines at once.
+	Ended func(service string, err error)
 
 	services []Service
 	running  []runningService
@@ -41,6 +44,7 @@
 type runningService struct {
 	name   string
 	drain  func(context.Context)
+	ctx    context.Context
 	cancel context.CancelFunc
 	done   <-chan error
 }
@@ -97,22 +101,32 @@
 			return oops.In("kernel").Wrapf(err, "start service %s", s.Name)
 		}
 		serviceEnd := make(chan error, 1)
-		k.running = append(k.running, runningService{s.Name, s.Drain, cancel, serviceEnd})
-		go supervise(s.Name, done, serviceEnd, failures)
+		r := runningService{s.Name, s.Drain, ctx, cancel, serviceEnd}
+		k.running = append(k.running, r)
+		go k.supervise(r, done, serviceEnd, failures)
 	}
 	return nil
 }
 
 // supervise waits for a service to end and passes its result to stop, and an error also to Run.
-func supervise(name string, done <-chan error, serviceEnd, failures chan<- error) {
+func (k *Kernel) supervise(r runningService, done <-chan error, serviceEnd, failures chan<- error) {
 	if done == nil {
 		serviceEnd <- nil
 		return
 	}
 	err := <-done
+	if r.ctx.Err() == nil {
+		k.reportEnd(r.name, err)
+	}
 	serviceEnd <- err
 	if err != nil {
-		failures <- oops.In("kernel").Wrapf(err, "service %s ended", name)
+		failures <- oops.In("kernel").Wrapf(err, "service %s ended", r.name)
+	}
+}
+
+func (k *Kernel) reportEnd(service string, err error) {
+	if k.Ended != nil {
+		k.Ended(service, err)
 	}
 }
 
@@ -132,8 +146,10 @@
 				first = err
 			}
 		case <-time.After(limit):
+			err := fmt.Errorf("service %s did not stop within %s", r.name, limit)
+			k.reportEnd(r.name, err)
 			if first == nil {
-				first = fmt.Errorf("service %s did not stop within %s", r.name, limit)
+				first = err
 			}
 		}
 	}
--- a/internal/base/kernel/kernel_test.go
+++ b/internal/base/kernel/kernel_test.go
@@ -55,10 +55,13 @@
 		l := &eventLog{}
 		end := make(chan error, 1)
 		end <- errors.New("disk is full")
-		k := &kernel.Kernel{}
+		ended := make(chan string, 2)
+		k := &kernel.Kernel{Ended: func(service string, err error) { ended <- service + ": " + err.Error() }}
 		k.Register(l.service("a", nil, nil), l.service("b", end, nil))
 		err := k.Run(t.Context())
 		So(err, ShouldNotBeNil)
+		So(<-ended, ShouldEqual, "b: disk is full")
+		So(ended, ShouldBeEmpty)
 		So(err.Error(), ShouldContainSubstring, "disk is full")
 	})
 	Convey("If a service does not start, those before it stop", t, func() {
@@ -70,8 +73,10 @@
 	})
 	Convey("A service that does not stop is reported", t, func() {
 		ctx, cancel := context.WithCancel(t.Context())
-		k := &kernel.Kernel{StopLimit: 10 * time.Millisecond, Ready: cancel}
+		ended := make(chan string, 1)
+		k := &kernel.Kernel{StopLimit: 10 * time.Millisecond, Ready: cancel, Ended: func(service string, _ error) { ended <- service }}
 		k.Register(kernel.Service{Name: "stuck", Start: func(context.Context) (<-chan error, error) { return make(chan error), nil }})
 		So(k.Run(ctx).Error(), ShouldContainSubstring, "stuck")
+		So(<-ended, ShouldEqual, "stuck")
 	})
 }
--- a/internal/tools/host/host.go
+++ b/internal/tools/host/host.go
@@ -99,7 +99,7 @@
 	h := &Host{Config: cfg, opt: opt, Meter: meter.New(), dialer: &link.Dialer{Host: cfg.Host, Dial: opt.Dial}}
 	h.Log = logs.New(logs.Options{Out: opt.Log, Host: cfg.Host, Roles: roleNames(cfg), Level: cfg.LogLevel})
 	h.dialer.OnSilent = link.ReportSilent(h.Log, h.Meter)
-	h.Kernel = &kernel.Kernel{DrainLimit: cfg.DrainTimeout.Std(), Ready: opt.Ready}
+	h.Kernel = &kernel.Kernel{DrainLimit: cfg.DrainTimeout.Std(), Ready: opt.Ready, Ended: h.Log.ServiceEnded}
 	if opt.Server == nil {
 		h.opt.Server = func(addr, group string) adapt.Server { return adapt.Postgres(addr, ProxyUser, group) }
 	}
@@ -298,7 +298,10 @@
 // Run runs the host until ctx ends or a service fails, then drains and stops it. It returns the
 // first error of a service.
 func (h *Host) Run(ctx context.Context) error {
+	h.Log.WithField("link", h.Config.LinkAddr).WithField("api", h.Config.APIAddr).WithField("callers", h.Config.CallerAddr).Info("start")
+	context.AfterFunc(ctx, func() { h.Log.Info("shutdown requested; draining") })
 	err := h.Kernel.Run(ctx)
+	h.Log.Stopped(err)
 	if err != nil {
 		return fmt.Errorf("host %s: %w", h.Config.Host, err)
 	}
--- a/internal/tools/node/node.go
+++ b/internal/tools/node/node.go
@@ -103,7 +103,7 @@
 	n := &Node{opt: opt, cfg: cfg, Meter: meter.New(), dialer: &link.Dialer{Host: cfg.Host, Timeout: linkDialTimeout, Dial: opt.Dial}}
 	n.Log = logs.New(logs.Options{Out: opt.Log, Host: cfg.Host, Roles: n.roles(), Level: opt.Level})
 	n.dialer.OnSilent = link.ReportSilent(n.Log, n.Meter)
-	n.Kernel = &kernel.Kernel{DrainLimit: cfg.GracePeriod() - stopMargin, StopLimit: stopMargin}
+	n.Kernel = &kernel.Kernel{DrainLimit: cfg.GracePeriod() - stopMargin, StopLimit: stopMargin, Ended: n.Log.ServiceEnded}
 	ln, err := net.Listen("tcp", cfg.LinkAddr())
 	if err != nil {
 		return nil, fmt.Errorf("listen for hosts: %w", err)
@@ -248,17 +248,9 @@
 func (n *Node) Run(ctx context.Context) error {
 	n.Log.WithField("settings", n.cfg.String()).WithField("first", n.cfg.Bootstrap).Info("start")
 	err := n.Kernel.Run(ctx)
-	n.Log.WithField("error", errorText(err)).Info("stop")
+	n.Log.Stopped(err)
 	if err != nil {
 		return fmt.Errorf("host %s: %w", n.cfg.Host, err)
 	}
 	return nil
 }
-
-// errorText returns the error's text, or "" for nil.
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
--- a/internal/tools/whole/cluster_test.go
+++ b/internal/tools/whole/cluster_test.go
@@ -223,17 +223,34 @@
 	return code
 }
 
-// killAll kills all processes and, if the test failed, prints the ends of their logs.
+// killAll kills all processes. If the test failed, it prints how each ended, which tells whether it had
+// ended by itself before, and the ends of the logs.
 func (c *cluster) killAll() {
-	for _, p := range c.procs {
+	for name, p := range c.procs {
+		state := processState(p.Process.Pid)
 		_ = p.Process.Signal(syscall.SIGKILL)
 		_ = p.Wait()
+		if c.t.Failed() {
+			c.t.Logf("%s (pid %d, API %s, other hosts %s): state %s before it was killed, then %s", name, p.Process.Pid, c.configs[name].APIAddr, c.configs[name].LinkAddr, state, p.ProcessState)
+		}
 	}
 	if c.t.Failed() {
 		c.printLogTails()
 	}
 }
 
+// processState returns the state of a process as the kernel names it: Z means that it has ended, T that it is
+// stopped.
+func processState(pid int) string {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return err.Error()
+	}
+	_, rest, _ := strings.Cut(string(b), ") ")
+	state, _, _ := strings.Cut(rest, " ")
+	return state
+}
+
 // printLogTails prints the last 9000 bytes of each process log.
 func (c *cluster) printLogTails() {
 	logs, _ := filepath.Glob(filepath.Join(c.dir, "*.log"))
