probe, holder: Replace a primary that is alive but lost its role

Change: an instance that says for 300 ms that it is not the primary of the open term counts as a failed primary, with the observers and the holder; the leader then seals the term and chooses as after any failure. Ruled out: letting it resume its term (its disk may be another one, and acknowledgments of its former run are not known to it); a state of its own in the log (the observers' reports already carry the term and the primary).

--- a/internal/traffic/holder/holder.go
+++ b/internal/traffic/holder/holder.go
@@ -71,10 +71,29 @@
 	// primary is the name of the primary, and term is the group's term.
 	primary string
 	term    uint64
-	addr    string
-	probe   *probe.Probe
-	cancel  context.CancelFunc
-	failed  bool
+	// openSince is when this host learned that the term is open; zero while it is not.
+	openSince time.Time
+	addr      string
+	probe     *probe.Probe
+	cancel    context.CancelFunc
+	failed    bool
+}
+
+// setTerm records the present term of the group and whether it is open.
+func (o *observedPrimary) setTerm(now time.Time, state *wire.GroupState) {
+	open := state.Phase == wire.Phase_OPEN
+	if !open || o.term != state.Term {
+		o.openSince = time.Time{}
+	}
+	if open && o.openSince.IsZero() {
+		o.openSince = now
+	}
+	o.term = state.Term
+}
+
+// hasFailed reports whether the primary counts as failed.
+func (o *observedPrimary) hasFailed(now time.Time) bool {
+	return o.probe.Failed(now) || !o.openSince.IsZero() && o.probe.LostRole(now, o.term, o.openSince)
 }
 
 // Prepare initializes the holder. Call it before Run.
@@ -213,14 +232,14 @@
 		o = h.startProbe(name, addr)
 		o.primary = r.Group.Primary
 	}
-	o.term = r.Group.Term
+	o.setTerm(now, r.Group)
 	h.reportFailureChange(now, o)
 }
 
 // reportFailureChange renews the lease at once when a primary starts or stops counting as failed,
 // since renewals carry that report to the control leader.
 func (h *Holder) reportFailureChange(now time.Time, o *observedPrimary) {
-	if failed := o.probe.Failed(now); failed != o.failed {
+	if failed := o.hasFailed(now); failed != o.failed {
 		o.failed = failed
 		h.Agent.RenewNow()
 	}
@@ -262,7 +281,7 @@
 	defer h.mu.Unlock()
 	var list []*wire.PrimaryHealth
 	for name, o := range h.observed {
-		if o.probe.Failed(now) {
+		if o.hasFailed(now) {
 			list = append(list, &wire.PrimaryHealth{Group: name, Term: o.term, Primary: o.primary})
 		}
 	}
--- a/internal/traffic/holder/pool.go
+++ b/internal/traffic/holder/pool.go
@@ -50,8 +50,9 @@
 	closed    bool
 	// retiredAt is when the pool learned that another host is the holder, or zero.
 	retiredAt time.Time
-	// termChangedAt is when the pool learned of the current term.
-	termChangedAt time.Time
+	// termChangedAt is when the pool learned of the current term, and phaseChangedAt of its phase.
+	termChangedAt  time.Time
+	phaseChangedAt time.Time
 	// acked is the position up to which the group's log counts as acknowledged.
 	acked token.Position
 	// baseEpoch is the value of state.Held, which changes with each holder, for which the base
@@ -116,6 +117,7 @@
 	if old.GetTerm() == state.Term && old.GetPhase() == state.Phase {
 		return
 	}
+	p.phaseChangedAt = now
 	if old.GetTerm() != state.Term {
 		p.termChangedAt = now
 	}
@@ -268,26 +270,30 @@
 // reportFailureChange renews the lease at once when the primary starts or stops counting as
 // failed, since renewals carry that report to the control leader.
 func (p *pool) reportFailureChange(now time.Time) {
-	s := p.servers[p.state.Primary]
-	failed := s != nil && s.probe.Failed(now)
+	failed := p.hasFailedPrimary(now)
 	if failed != p.primaryFailed {
 		p.primaryFailed = failed
 		p.h.Agent.RenewNow()
 	}
 }
 
+// hasFailedPrimary reports whether the primary counts as failed. The caller holds mu.
+func (p *pool) hasFailedPrimary(now time.Time) bool {
+	s := p.servers[p.state.Primary]
+	if s == nil {
+		return false
+	}
+	return s.probe.Failed(now) || p.state.Phase == wire.Phase_OPEN && s.probe.LostRole(now, p.state.Term, p.phaseChangedAt)
+}
+
 // failedPrimary returns a report on the primary if it counts as failed, or nil.
 func (p *pool) failedPrimary(now time.Time) *wire.PrimaryHealth {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.state == nil {
-		return nil
-	}
-	s := p.servers[p.state.Primary]
-	if s == nil || !s.probe.Failed(now) {
+	if p.state == nil || !p.hasFailedPrimary(now) {
 		return nil
 	}
-	return &wire.PrimaryHealth{Term: p.state.Term, Primary: s.name}
+	return &wire.PrimaryHealth{Term: p.state.Term, Primary: p.state.Primary}
 }
 
 // notify wakes all goroutines that wait for a change. The caller holds mu.
--- a/internal/traffic/probe/probe.go
+++ b/internal/traffic/probe/probe.go
@@ -18,6 +18,10 @@
 	// failAfterRefusals is the number of consecutive refused connections after which the server has
 	// failed: its host responds, but no process listens on the port.
 	failAfterRefusals = 3
+	// roleTimeout is how long a server must deny that it is the primary of an open term before it has failed
+	// as such. Servers send their status at least every 100 ms, so that a status from before the promotion
+	// does not count for that long.
+	roleTimeout = 300 * time.Millisecond
 )
 
 // Probe monitors a backend server. The exported fields are set before Run.
@@ -30,9 +34,11 @@
 	// OnUpdate, if set, is called after each status and each end of the status stream.
 	OnUpdate func()
 
-	mu                  sync.Mutex
-	status              adapt.Status
-	hasStatus           bool
+	mu        sync.Mutex
+	status    adapt.Status
+	hasStatus bool
+	// roleSince is when the server first reported its present role and term.
+	roleSince           time.Time
 	lastStatusAt        time.Time
 	started             time.Time
 	consecutiveRefusals int
@@ -69,10 +75,14 @@
 
 // recordStatus stores a status that the server sent.
 func (p *Probe) recordStatus(s adapt.Status) {
+	now := p.Now()
 	p.mu.Lock()
+	if !p.hasStatus || s.Primary != p.status.Primary || s.Term != p.status.Term {
+		p.roleSince = now
+	}
 	p.status = s
 	p.hasStatus = true
-	p.lastStatusAt = p.Now()
+	p.lastStatusAt = now
 	p.consecutiveRefusals = 0
 	p.mu.Unlock()
 	if p.OnUpdate != nil {
@@ -123,3 +133,18 @@
 	}
 	return now.Sub(last) >= p.SilenceTimeout
 }
+
+// LostRole reports whether the server has said for roleTimeout that it is not the primary of a term which
+// has been open, with this server as its primary, since the given time. A primary that starts anew does
+// not resume its role, so that its term has no primary although the server is alive.
+func (p *Probe) LostRole(now time.Time, term uint64, since time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.hasStatus || p.status.Primary && p.status.Term == term || p.lastStatusAt.Before(since) {
+		return false
+	}
+	if p.roleSince.After(since) {
+		since = p.roleSince
+	}
+	return now.Sub(since) >= roleTimeout
+}
