sess, front, pool: Run each statement for the client account of its caller's key

Cause: the second field of STARTUP was read and dropped, and connections to instances named the host. Change: where the manifest declares accounts, a session needs the key of one, unless its database is public; others get DENIED at once. Connections to an instance belong to the account that they were opened for, also lent ones; requests of the host itself use any.

Without accounts nothing changes. Ruled out: reusing a connection of another account (an instance is told the account only at startup).

--- a/internal/backend/mimic/group.go
+++ b/internal/backend/mimic/group.go
@@ -56,6 +56,9 @@
 	// LeaveBound is how long after the acknowledgment of its announcement an instance that leaves may
 	// get new requests; 0 is unlimited.
 	LeaveBound time.Duration
+	// AccountOfKey, if set, has the client accounts of the keys that callers use. Instances then record who
+	// connects to them.
+	AccountOfKey map[string]string
 	// RecordRuns makes Runs available.
 	RecordRuns bool
 
@@ -69,6 +72,8 @@
 	peakConns int
 	// lateRequests describes the requests that reached a leaving instance after LeaveBound.
 	lateRequests []string
+	// passedKeys describes the startups that named a key instead of an account.
+	passedKeys []string
 	// runs are the executions of statements by id.
 	runs map[string][]Run
 }
@@ -82,6 +87,22 @@
 	return slices.Clone(g.lateRequests)
 }
 
+// PassedKeys returns a description of each startup that passed a caller's key on to an instance.
+func (g *Group) PassedKeys() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.passedKeys)
+}
+
+// recordStartup records a startup that names a key.
+func (g *Group) recordStartup(instance, account string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, ok := g.AccountOfKey[account]; ok {
+		g.passedKeys = append(g.passedKeys, instance)
+	}
+}
+
 // WriteCount returns how often the write with the id occurs in the current primary's log.
 func (g *Group) WriteCount(id string) int {
 	g.mu.Lock()
--- a/internal/backend/mimic/instance.go
+++ b/internal/backend/mimic/instance.go
@@ -196,8 +196,10 @@
 
 // session is the protocol state of one client connection.
 type session struct {
-	in       *Instance
-	w        *bufio.Writer
+	in *Instance
+	w  *bufio.Writer
+	// account is the account that the startup named.
+	account  string
 	inTx     bool
 	readOnly bool
 	txFailed bool
@@ -219,6 +221,8 @@
 		s.writeLine("ERR WRONGNODE %s", in.Name)
 		return
 	}
+	s.account = fields[2]
+	in.group.recordStartup(in.Name, s.account)
 	if !in.register(c) {
 		s.writeLine("ERR MAXCONN %s", in.Name)
 		return
@@ -237,7 +241,7 @@
 			return
 		}
 		s.recordArrival(fields[1], fields[2])
-		run := in.group.startRun(in.Name, fields[1], time.Now())
+		run := in.group.startRun(in.Name, s.account, fields[1], time.Now())
 		answered := s.admitQuery(fields[1], fields[2])
 		in.group.endRun(fields[1], run, answered, time.Now())
 		if !answered {
--- a/internal/backend/mimic/run.go
+++ b/internal/backend/mimic/run.go
@@ -17,6 +17,8 @@
 	// EndedAt is when the answer was sent or the instance broke off; it is zero before that.
 	EndedAt  time.Time
 	BrokeOff bool
+	// Account is the account that the startup of the connection named.
+	Account string
 }
 
 // Runs returns the executions of the statement with the id.
@@ -27,7 +29,7 @@
 }
 
 // startRun records the arrival of a statement and returns the index of its run.
-func (g *Group) startRun(instance, id string, now time.Time) int {
+func (g *Group) startRun(instance, account, id string, now time.Time) int {
 	if !g.RecordRuns || id == "-" {
 		return -1
 	}
@@ -36,7 +38,7 @@
 	if g.runs == nil {
 		g.runs = map[string][]Run{}
 	}
-	g.runs[id] = append(g.runs[id], Run{Instance: instance, ArrivedAt: now})
+	g.runs[id] = append(g.runs[id], Run{Instance: instance, Account: account, ArrivedAt: now})
 	return len(g.runs[id]) - 1
 }
 
--- a/internal/control/spec/manifest.go
+++ b/internal/control/spec/manifest.go
@@ -99,7 +99,7 @@
 			fieldErrors = append(fieldErrors, FieldError{field + "reads", fmt.Sprintf("unknown consistency %q", d.Consistency)})
 		}
 	}
-	return fieldErrors
+	return append(fieldErrors, validateAccounts(m.Accounts)...)
 }
 
 // Encode returns the manifest as it is stored in the log: JSON compressed with DEFLATE. It is
--- a/internal/traffic/front/caller.go
+++ b/internal/traffic/front/caller.go
@@ -59,6 +59,8 @@
 	sendsAhead bool
 	// shedding is set once the connection is to be closed as soon as it is idle.
 	shedding bool
+	// revoked is set once the session was found to be no longer entitled to its database.
+	revoked bool
 	// flood is set once the caller has sent too much ahead.
 	flood bool
 	// ending is set once no further message is handled: the connection is closed when all answers have
@@ -166,6 +168,12 @@
 	if !c.refusingSince.IsZero() || c.refuses(now, st) {
 		return c.refuse(now, c.session.Refuse(st))
 	}
+	if !c.session.Entitled() {
+		return c.revoke(st)
+	}
+	if a, ok := c.session.LeaveAccount(st); ok {
+		return c.srv.Codec.AppendAnswer(nil, a)
+	}
 	if a, ok := c.session.RunLocal(now, st); ok {
 		c.out = c.srv.Codec.AppendAnswer(c.out[:0], a)
 		return c.out
@@ -192,6 +200,22 @@
 	return false
 }
 
+// revoke answers a statement of a caller whose key was taken away, and has the connection closed. c.mu must
+// be held.
+func (c *caller) revoke(st flow.Statement) []byte {
+	c.countRevoked()
+	c.end()
+	return c.srv.Codec.AppendAnswer(nil, c.session.Revoke(st))
+}
+
+// countRevoked counts a session whose caller's key was taken away, once. c.mu must be held.
+func (c *caller) countRevoked() {
+	if !c.revoked {
+		c.revoked = true
+		c.srv.Meter.AddCounter("sessions.revoked", 1)
+	}
+}
+
 // settleTime is how long after the first refusal the caller may still have statements refused that it sent
 // long before and that waited for the ones before them.
 const settleTime = 100 * time.Millisecond
@@ -241,9 +265,9 @@
 	if !c.srv.CanOpenSession(now) {
 		return c.refuseStartup("notready", flow.ErrorAnswer(flow.Busy, flow.Idle, "host is not ready"))
 	}
-	session, ok := c.srv.Sessions.Open(startup.Database)
-	if !ok {
-		return c.refuseStartup("nodatabase", flow.ErrorAnswer(flow.NoDatabase, flow.Idle, startup.Database))
+	session, code := c.srv.Sessions.Open(startup.Database, startup.Key)
+	if code != flow.OK {
+		return c.refuseStartup(code.String(), flow.ErrorAnswer(code, flow.Idle, startup.Database))
 	}
 	if !c.srv.drain.Schedule().StartsRequest(now, session.Timeout(), false) {
 		return c.refuseStartup("draining", flow.ErrorAnswer(flow.Busy, flow.Idle, "host is shutting down"))
@@ -338,6 +362,22 @@
 	}
 }
 
+// enforceKey rolls back the open transaction of a caller whose key was taken away, and has its connection
+// closed if it is idle. The caller's next statement tells it the verdict on a transaction.
+func (c *caller) enforceKey() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.busy || c.session == nil || c.session.Entitled() {
+		return
+	}
+	c.countRevoked()
+	c.session.RollBackRevoked()
+	if c.session.State() == flow.Idle {
+		c.shedding = true
+		c.wake()
+	}
+}
+
 // expireTransaction rolls back a transaction that has exceeded its idle timeout.
 func (c *caller) expireTransaction(now time.Time) {
 	c.mu.Lock()
--- a/internal/traffic/front/front.go
+++ b/internal/traffic/front/front.go
@@ -44,7 +44,8 @@
 // Startup is the first message of a connection; it opens a session.
 type Startup struct {
 	Database string
-	Caller   string
+	// Key identifies the caller's client account; it must not be logged.
+	Key string
 }
 
 // ErrTooLarge is returned by a codec for a message that exceeds its size limit.
@@ -235,6 +236,7 @@
 		now := s.Now()
 		shed := s.ShedCallers != nil && s.ShedCallers(now)
 		for _, cl := range s.listCallers() {
+			cl.enforceKey()
 			cl.expireTransaction(now)
 			cl.enforceTimeouts(now)
 			if shed && now.Sub(cl.connectedAt) > minShedAge {
--- a/internal/traffic/pool/conn.go
+++ b/internal/traffic/pool/conn.go
@@ -53,6 +53,8 @@
 	// preparedNames holds the name of each statement prepared on the connection.
 	preparedNames map[preparedKey]string
 	idleSince     time.Time
+	// account is the client account that the connection was opened for, or "" for the proxy itself.
+	account string
 	// prio is the priority of the current use.
 	prio Priority
 	// slotDeadline is the latest time at which the first statement of the current use must get
@@ -62,6 +64,9 @@
 	inTransaction bool
 }
 
+// serves reports whether a request may run on the connection.
+func (c *Conn) serves(prio Priority) bool { return c.account == prio.Account || prio.own() }
+
 // preparedKey identifies a prepared statement.
 type preparedKey struct {
 	stmt   string
--- a/internal/traffic/pool/dial.go
+++ b/internal/traffic/pool/dial.go
@@ -3,36 +3,81 @@
 import (
 	"bufio"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/agatespindle/agatespindle/internal/base/fault"
 	"github.com/agatespindle/agatespindle/internal/traffic/flow"
 )
 
-// dialForWaiting starts to open connections for the waiters, within the limits. The caller holds mu.
+// dialForWaiting starts to open connections for the waiters, within the limits. If the host may have no
+// more, it closes idle connections, which are of other accounts. The caller holds mu.
 func (p *Pool) dialForWaiting(now time.Time) {
-	for p.dialing < min(len(p.waiting), maxConcurrentDials) && p.open+p.dialing < p.maxConnsNow(now) && !now.Before(p.connLimitUntil) {
-		p.dialing++
-		go p.dial()
+	if len(p.waiting) == 0 || now.Before(p.connLimitUntil) {
+		return
+	}
+	needed := map[string]int{}
+	for _, w := range p.waiting {
+		if p.dialing >= maxConcurrentDials {
+			return
+		}
+		needed[w.prio.Account]++
+		if needed[w.prio.Account] <= p.dialingFor[w.prio.Account] {
+			continue
+		}
+		if p.open+p.dialing >= p.maxConnsNow(now) && !p.evictIdle() {
+			return
+		}
+		p.startDial(w.prio.Account)
 	}
 }
 
+// startDial opens a connection for an account in the background. The caller holds mu.
+func (p *Pool) startDial(account string) {
+	if p.dialingFor == nil {
+		p.dialingFor = map[string]int{}
+	}
+	p.dialing++
+	p.dialingFor[account]++
+	go p.dial(account)
+}
+
+// evictIdle closes the connection that has been idle for the longest time, in favour of one for another
+// account. It reports false if none is idle. The caller holds mu.
+func (p *Pool) evictIdle() bool {
+	if len(p.idle) == 0 {
+		return false
+	}
+	p.idle[0].raw.Close()
+	p.idle = p.idle[1:]
+	p.open--
+	p.Meter.AddCounter("connections.evicted", 1)
+	return true
+}
+
 // maxConnsNow returns how many connections this host may currently have: only its share for a
 // period after its start. The caller holds mu.
 func (p *Pool) maxConnsNow(now time.Time) int {
+	limit := p.maxConns
+	if p.accounts && now.Before(p.fullUntil) {
+		limit = min(limit, p.fullAt)
+	}
 	if now.Before(p.shareOnlyUntil) {
-		return min(max(1, p.share), p.maxConns)
+		limit = min(limit, max(1, p.share))
 	}
-	return p.maxConns
+	return limit
 }
 
-// dial opens a connection for the first waiter or as an idle one.
-func (p *Pool) dial() {
-	c, code, err := p.connect()
+// dial opens a connection of an account for the first waiter that it serves, or as an idle one.
+func (p *Pool) dial(account string) {
+	c, code, err := p.connect(account)
 	now := p.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dialing--
+	if p.dialingFor[account]--; p.dialingFor[account] == 0 {
+		delete(p.dialingFor, account)
+	}
 	switch {
 	case err != nil:
 		p.markUnreachable(now, err)
@@ -41,14 +86,15 @@
 	default:
 		p.markReachable(now)
 		p.open++
+		p.accounts = p.accounts || account != ""
 		p.assign(now, c)
 		p.dialForWaiting(now)
 	}
 }
 
-// connect opens one connection. If err is nil, a code other than flow.OK is the instance's reason to
+// connect opens one connection of an account, or of the proxy itself if account is empty. If err is nil, a code other than flow.OK is the instance's reason to
 // refuse it.
-func (p *Pool) connect() (*Conn, flow.Code, error) {
+func (p *Pool) connect(account string) (*Conn, flow.Code, error) {
 	p.Meter.AddCounter("connections.opened", 1)
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
@@ -57,9 +103,9 @@
 		return nil, flow.OK, err
 	}
 	setTCPOptions(raw)
-	c := &Conn{raw: raw, r: bufio.NewReaderSize(raw, readBufferSize), pool: p}
+	c := &Conn{raw: raw, r: bufio.NewReaderSize(raw, readBufferSize), pool: p, account: account}
 	_ = raw.SetDeadline(time.Now().Add(dialTimeout))
-	if _, err = raw.Write(p.Codec.AppendStartup(nil, p.Group, "", p.Instance)); err != nil {
+	if _, err = raw.Write(p.Codec.AppendStartup(nil, p.Group, account, p.Instance)); err != nil {
 		raw.Close()
 		return nil, flow.OK, err
 	}
@@ -71,7 +117,7 @@
 	return c, flow.OK, nil
 }
 
-// assign gives a connection to the first waiter. Without waiters it keeps the connection idle, or
+// assign gives a connection to the first waiter that it serves. Without such waiters it keeps the connection idle, or
 // closes it if the host may only use its share and has more. The caller holds mu.
 func (p *Pool) assign(now time.Time, c *Conn) {
 	if p.closed {
@@ -79,9 +125,9 @@
 		p.open--
 		return
 	}
-	if len(p.waiting) > 0 {
-		w := p.waiting[0]
-		p.waiting = p.waiting[1:]
+	if i := slices.IndexFunc(p.waiting, func(w *waiter) bool { return c.serves(w.prio) }); i >= 0 {
+		w := p.waiting[i]
+		p.waiting = slices.Delete(p.waiting, i, i+1)
 		w.done <- connResult{conn: c}
 		return
 	}
@@ -101,6 +147,7 @@
 	if code == flow.TooMany {
 		p.markReachable(now)
 		p.connLimitUntil = now.Add(connLimitPause)
+		p.fullAt, p.fullUntil = max(1, p.open), now.Add(fullPeriod)
 		if p.open == 0 {
 			p.failWaiters(p.connLimitError())
 		}
@@ -170,7 +217,7 @@
 
 // probeOnce tries to open a connection and reports whether another attempt is needed.
 func (p *Pool) probeOnce() bool {
-	c, code, err := p.connect()
+	c, code, err := p.connect("")
 	now := p.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/traffic/pool/pool.go
+++ b/internal/traffic/pool/pool.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -30,12 +31,18 @@
 	// Slots+extraInFlight ones stay open for good. More aren't kept, since an instance holds the
 	// connections of a host that lost power for 3 s, in addition to the host's new ones.
 	shareIdleTimeout = 2 * time.Second
+	// accountIdleTimeout is how long an idle connection within the share stays open if connections belong
+	// to client accounts.
+	accountIdleTimeout = 20 * time.Second
 	// shareOnlyPeriod is how long a host stays within its share after its start. An instance holds
 	// the connections of hosts that lost power for 3 s.
 	shareOnlyPeriod = 4 * time.Second
 	// connLimitPause is how long no connection is opened after the instance refused one because
 	// of its connection limit.
 	connLimitPause = 60 * time.Millisecond
+	// fullPeriod is how long a host does not exceed the number of connections at which the instance refused
+	// another one, if connections belong to client accounts.
+	fullPeriod = time.Second
 	// probeInterval is the pause between two attempts to reach a failed instance.
 	probeInterval = 100 * time.Millisecond
 	// maxConcurrentDials is the number of connections to an instance that a host opens at the same
@@ -92,8 +99,10 @@
 	idle []*Conn
 	// open is the number of open connections, idle or in use.
 	open int
-	// dialing is the number of connections being opened, except by probes.
-	dialing int
+	// dialing is the number of connections being opened, except by probes, and dialingFor that of each
+	// client account.
+	dialing    int
+	dialingFor map[string]int
 	// waiting are the waiters in the order in which they get connections.
 	waiting []*waiter
 	// maxConns is the number of connections that all hosts together may have to the instance; this
@@ -104,6 +113,13 @@
 	// connLimitUntil is the end of the pause after the instance refused a connection because of
 	// its connection limit.
 	connLimitUntil time.Time
+	// fullAt is the number of connections that this host had when the instance last refused one, and
+	// fullUntil the end of the time for which it replaces connections instead of opening more. Both are used
+	// only if connections belong to accounts.
+	fullAt    int
+	fullUntil time.Time
+	// accounts is set once a connection was opened for a client account.
+	accounts bool
 	// shareOnlyUntil is the end of the period in which this host stays within its share.
 	shareOnlyUntil time.Time
 	// standby is set if this host lends connections only if the first lender fails.
@@ -129,10 +145,14 @@
 	Rank int
 	// Database is the database of the request, or "" for requests of this host itself.
 	Database string
-	// Account is the client account of the request, or "" if it has none.
+	// Account is the client account of the request, or "" if it has none. The request only runs on a
+	// connection that was opened for the account.
 	Account string
 }
 
+// own reports whether the request is one of this host itself, which may run on any connection.
+func (p Priority) own() bool { return p.Database == "" && p.Account == "" }
+
 // UrgentRank is the lowest rank. It goes before all requests of callers.
 const UrgentRank = -1
 
@@ -268,7 +288,7 @@
 func (p *Pool) Get(ctx context.Context, waitLimit time.Duration, prio Priority) (*Conn, error) {
 	now := p.Now()
 	p.mu.Lock()
-	if c := p.takeIdle(now); c != nil {
+	if c := p.takeIdle(now, prio); c != nil {
 		p.mu.Unlock()
 		return p.beginUse(c, prio, now.Add(waitLimit)), nil
 	}
@@ -347,12 +367,15 @@
 	p.waiting[at] = w
 }
 
-// takeIdle removes and returns the most recently used idle connection that is healthy, or nil. It
-// closes unhealthy ones. The caller holds mu.
-func (p *Pool) takeIdle(now time.Time) *Conn {
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
+// takeIdle removes and returns the most recently used idle connection that serves the request and is
+// healthy, or nil. It closes unhealthy ones. The caller holds mu.
+func (p *Pool) takeIdle(now time.Time, prio Priority) *Conn {
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		if !c.serves(prio) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
 		if now.Sub(c.idleSince) < socketCheckAfter && c.r.Buffered() == 0 {
 			return c
 		}
@@ -373,6 +396,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.assign(now, c)
+	if p.accounts {
+		p.dialForWaiting(now)
+	}
 }
 
 // discard closes a connection in use, which counts as a failure of the connection.
@@ -409,8 +435,7 @@
 		return
 	}
 	if p.open+p.dialing == 0 && !p.down && !p.probing && !now.Before(p.connLimitUntil) {
-		p.dialing++
-		go p.dial()
+		p.startDial("")
 	}
 	p.dialForWaiting(now)
 }
@@ -421,6 +446,9 @@
 	if p.open > p.share {
 		return idle > surplusIdleTimeout
 	}
+	if p.accounts {
+		return idle > accountIdleTimeout
+	}
 	return p.open > p.Slots+extraInFlight && idle > shareIdleTimeout
 }
 
--- a/internal/traffic/sess/execution.go
+++ b/internal/traffic/sess/execution.go
@@ -18,6 +18,8 @@
 type execution struct {
 	session *Session
 	db      spec.Database
+	// account is the client account that the statement runs for, or "".
+	account string
 	group   *topo.Group
 	// needsPrimary is set if the statement must run at the primary.
 	needsPrimary bool
@@ -40,11 +42,16 @@
 // timeout of the database.
 func (s *Session) runAutocommit(ctx context.Context, st flow.Statement, req flow.Request, effect flow.Effect) flow.Answer {
 	now := s.mgr.Now()
-	db, ok := s.mgr.Topology.Snapshot().Databases[s.database]
+	snapshot := s.mgr.Topology.Snapshot()
+	db, ok := snapshot.Databases[s.database]
 	if !ok {
 		return flow.ErrorAnswer(flow.NoDatabase, flow.Idle, s.database)
 	}
-	e := s.newExecution(now, db, st, effect == flow.Writes)
+	account, ok := snapshot.AccountOf(db, s.key)
+	if !ok {
+		return s.deny()
+	}
+	e := s.newExecution(now, db, account, st, effect == flow.Writes)
 	for e.nextTry(ctx) {
 		m, ok := e.chooseInstance(ctx, s.mgr.Now(), effect == flow.Reads)
 		if !ok && e.waitAndRetry(ctx) {
@@ -63,9 +70,9 @@
 
 // newExecution returns the execution of a statement, or of the opening of a transaction, before its
 // first try.
-func (s *Session) newExecution(now time.Time, db spec.Database, st flow.Statement, fenced bool) *execution {
+func (s *Session) newExecution(now time.Time, db spec.Database, account string, st flow.Statement, fenced bool) *execution {
 	return &execution{
-		session: s, db: db, group: &topo.Group{Name: db.Group}, started: now, requestID: st.ID, fenced: fenced, lastVerdict: flow.Verdict{Code: flow.Busy},
+		session: s, db: db, account: account, group: &topo.Group{Name: db.Group}, started: now, requestID: st.ID, fenced: fenced, lastVerdict: flow.Verdict{Code: flow.Busy},
 	}
 }
 
@@ -282,7 +289,7 @@
 
 // priority returns the order of the statement among others that wait for the same instance.
 func (e *execution) priority() pool.Priority {
-	return pool.Priority{Rank: e.db.Priority, Database: e.db.Name}
+	return pool.Priority{Rank: e.db.Priority, Database: e.db.Name, Account: e.account}
 }
 
 // answerTimeout returns how long to wait for the answer. A read that a replica can serve has a shorter
--- a/internal/traffic/sess/lease_test.go
+++ b/internal/traffic/sess/lease_test.go
@@ -68,8 +68,8 @@
 
 // open opens a session on a database.
 func (h unleasedHost) open(database string) *sess.Session {
-	s, ok := h.Open(database)
-	So(ok, ShouldBeTrue)
+	s, code := h.Open(database, "")
+	So(code, ShouldEqual, flow.OK)
 	return s
 }
 
--- a/internal/traffic/sess/sess.go
+++ b/internal/traffic/sess/sess.go
@@ -8,6 +8,7 @@
 
 	"github.com/agatespindle/agatespindle/internal/base/logs"
 	"github.com/agatespindle/agatespindle/internal/base/meter"
+	"github.com/agatespindle/agatespindle/internal/control/spec"
 	"github.com/agatespindle/agatespindle/internal/traffic/flow"
 	"github.com/agatespindle/agatespindle/internal/traffic/route"
 	"github.com/agatespindle/agatespindle/internal/traffic/token"
@@ -55,6 +56,8 @@
 	mgr *Manager
 	// database is the name of the database that the caller connected to.
 	database string
+	// key is the digest of the caller's key; empty if no key was needed when the session was opened.
+	key      spec.KeyDigest
 	values   flow.Values
 	prepared map[string]prepared
 	// positions holds the log positions of the session's own writes.
@@ -69,12 +72,23 @@
 	writes   bool
 }
 
-// Open opens a session on a database. It reports false if no such database is declared.
-func (m *Manager) Open(database string) (*Session, bool) {
-	if _, ok := m.Topology.Snapshot().Databases[database]; !ok {
-		return nil, false
+// Open opens a session on a database for a caller with a key, which may be empty. Its code is flow.OK, or
+// the reason why there is no session: flow.NoDatabase if no such database is declared, and flow.Denied if
+// the database needs the key of a client account and this is none.
+func (m *Manager) Open(database, key string) (*Session, flow.Code) {
+	snapshot := m.Topology.Snapshot()
+	db, ok := snapshot.Databases[database]
+	if !ok {
+		return nil, flow.NoDatabase
+	}
+	s := &Session{mgr: m, database: database, prepared: map[string]prepared{}}
+	if key != "" {
+		s.key = spec.DigestOf(key)
+	}
+	if _, ok := snapshot.AccountOf(db, s.key); !ok {
+		return nil, flow.Denied
 	}
-	return &Session{mgr: m, database: database, prepared: map[string]prepared{}}, true
+	return s, flow.OK
 }
 
 // State returns the transaction state of the session.
@@ -137,7 +151,11 @@
 	if !ok {
 		return flow.ErrorAnswer(flow.NoDatabase, flow.Idle, s.database)
 	}
-	s.tx = &transaction{db: db, readOnly: readOnly, lastUsed: now, idleTimeout: snapshot.TxIdleLimit}
+	account, ok := snapshot.AccountOf(db, s.key)
+	if !ok {
+		return s.deny()
+	}
+	s.tx = &transaction{db: db, account: account, readOnly: readOnly, lastUsed: now, idleTimeout: snapshot.TxIdleLimit}
 	s.state = flow.InTransaction
 	return flow.SuccessAnswer(flow.InTransaction)
 }
--- a/internal/traffic/sess/sess_test.go
+++ b/internal/traffic/sess/sess_test.go
@@ -37,8 +37,8 @@
 	Convey("Given a host that is shutting down", t, func() {
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
-		s, ok := newManager().Open("stock")
-		So(ok, ShouldBeTrue)
+		s, code := newManager().Open("stock", "")
+		So(code, ShouldEqual, flow.OK)
 		Convey("A single statement is refused as not run", func() {
 			So(s.Run(ctx, flow.Statement{ID: "1", Text: "READ x", Kind: flow.Read}).Code, ShouldEqual, flow.Busy)
 		})
--- a/internal/traffic/sess/transaction.go
+++ b/internal/traffic/sess/transaction.go
@@ -14,7 +14,9 @@
 // transaction is an open transaction of a session. It is opened on an instance, and gets its
 // connection, with the first statement after BEGIN.
 type transaction struct {
-	db       spec.Database
+	db spec.Database
+	// account is the client account that the transaction runs for, or "".
+	account  string
 	readOnly bool
 	// idleTimeout is how long the transaction may stay idle; zero or less means no limit.
 	idleTimeout time.Duration
@@ -80,7 +82,7 @@
 // several instances. It returns an error answer and false if none could open the transaction.
 func (s *Session) openTransaction(ctx context.Context, st flow.Statement) (flow.Answer, bool) {
 	tx := s.tx
-	e := s.newExecution(s.mgr.Now(), tx.db, st, !tx.readOnly)
+	e := s.newExecution(s.mgr.Now(), tx.db, tx.account, st, !tx.readOnly)
 	for e.nextTry(ctx) {
 		m, ok := e.chooseInstance(ctx, s.mgr.Now(), tx.readOnly)
 		if !ok && e.waitAndRetry(ctx) {
--- a/internal/traffic/topo/topology.go
+++ b/internal/traffic/topo/topology.go
@@ -81,6 +81,7 @@
 	manifestResource *wire.Resource
 	manifest         spec.Manifest
 	databases        map[string]spec.Database
+	accounts         map[spec.KeyDigest]string
 	// chosenLenders are the lenders of lentInstances, chosen from lenderCandidates.
 	chosenLenders    map[string][]place.Lender
 	lentInstances    []place.Instance
@@ -97,6 +98,19 @@
 	Groups         map[string]*Group
 	// TxIdleLimit is how long a transaction may be idle; zero means no limit.
 	TxIdleLimit time.Duration
+	// Accounts has the names of the client accounts by the digests of their keys. It is nil if the manifest
+	// declares no accounts, so that callers need no key.
+	Accounts map[spec.KeyDigest]string
+}
+
+// AccountOf returns the client account for which a caller with a key uses a database; "" if it needs
+// none. It reports false if the caller may not use the database.
+func (s *Snapshot) AccountOf(db spec.Database, key spec.KeyDigest) (string, bool) {
+	if s.Accounts == nil {
+		return "", true
+	}
+	name, ok := s.Accounts[key]
+	return name, ok || db.Public
 }
 
 // Group is a database group at a revision.
@@ -249,7 +263,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.loadManifest(v.Get(spec.Manifests, spec.CurrentManifest))
-	next := &Snapshot{Revision: v.Revision, ManifestNumber: t.manifest.Number, Databases: t.databases, TxIdleLimit: t.manifest.TransactionIdleTimeout, Groups: map[string]*Group{}}
+	next := &Snapshot{Revision: v.Revision, ManifestNumber: t.manifest.Number, Databases: t.databases, TxIdleLimit: t.manifest.TransactionIdleTimeout, Accounts: t.accounts, Groups: map[string]*Group{}}
 	hosts := connectionHosts(v)
 	seen := map[string]bool{}
 	for _, declared := range t.manifest.Groups {
@@ -288,7 +302,16 @@
 			t.databases[db.Name] = db
 		}
 	}
-	t.Log.WithField("number", m.Number).WithField("databases", len(m.Databases)).Info("manifest applied")
+	t.accounts = nil
+	if len(m.Accounts) > 0 {
+		t.accounts = map[spec.KeyDigest]string{}
+	}
+	for _, a := range m.Accounts {
+		for _, key := range a.Keys {
+			t.accounts[key] = a.Name
+		}
+	}
+	t.Log.WithField("number", m.Number).WithField("databases", len(m.Databases)).WithField("accounts", len(m.Accounts)).Info("manifest applied")
 }
 
 func (t *Topology) buildGroup(v *agent.View, declared spec.ManifestGroup, hosts []place.Lender, seen map[string]bool) *Group {
