--- a/internal/tools/node/cluster_integration_test.go
+++ b/internal/tools/node/cluster_integration_test.go
@@ -43,6 +43,9 @@
 	cancel     context.CancelFunc
 	heartbeats []<-chan error
 	partitions *partitions
+	// log receives the log lines of all hosts from level on.
+	log   io.Writer
+	level string
 }
 
 // partitions simulates network partitions. By host, blocked reports which addresses the host cannot
@@ -100,11 +103,17 @@
 // change is applied to the group before its start. With dropCloudResponses, the cloud runs every other
 // promotion without sending a response.
 func startCluster(t *testing.T, controlHosts, entryHosts int, dropCloudResponses bool, changes ...func(*mimic.Group)) *cluster {
+	t.Helper()
+	return startLoggingCluster(t, io.Discard, "info", controlHosts, entryHosts, dropCloudResponses, changes...)
+}
+
+// startLoggingCluster is like startCluster, with a writer for the log lines of all hosts from a level on.
+func startLoggingCluster(t *testing.T, log io.Writer, level string, controlHosts, entryHosts int, dropCloudResponses bool, changes ...func(*mimic.Group)) *cluster {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &cluster{
 		t: t, prefix: fmt.Sprintf("127.%d.%d.", 20+os.Getpid()%200, clusterSeq.Add(1)), dir: t.TempDir(),
-		running: map[string]*runningHost{}, ctx: ctx, cancel: cancel,
+		running: map[string]*runningHost{}, ctx: ctx, cancel: cancel, log: log, level: level,
 		partitions: &partitions{blocked: map[string]func(string) bool{}, conns: map[string][]net.Conn{}},
 		group:      &mimic.Group{Name: "ledger", Lag: 30 * time.Millisecond, PromotionDelay: 150 * time.Millisecond, MaxConns: 16},
 	}
@@ -170,7 +179,7 @@
 func (c *cluster) startHost(name, ip string, isControl, firstStart bool) {
 	c.t.Helper()
 	s := c.settings(name, ip, isControl, firstStart)
-	n, err := node.New(node.Options{Settings: s, Log: io.Discard, Level: "info", Dial: c.partitions.dial(name)})
+	n, err := node.New(node.Options{Settings: s, Log: c.log, Level: c.level, Dial: c.partitions.dial(name)})
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -329,7 +338,10 @@
 }
 
 // openSession connects to an entry host and opens a session with a database.
-func openSession(addr, database string) (*caller, error) {
+func openSession(addr, database string) (*caller, error) { return openSessionAs(addr, database, "tester") }
+
+// openSessionAs is like openSession, for a caller with a key.
+func openSessionAs(addr, database, key string) (*caller, error) {
 	conn, err := net.DialTimeout("tcp", addr, replyTimeout)
 	if err != nil {
 		return nil, err
@@ -340,7 +352,7 @@
 	callerSeq.Unlock()
 	s := &caller{Conn: conn, r: bufio.NewReader(conn), tag: tag}
 	_ = conn.SetDeadline(time.Now().Add(replyTimeout))
-	fmt.Fprintf(conn, "STARTUP %s tester\r\n", database)
+	fmt.Fprintf(conn, "STARTUP %s %s\r\n", database, key)
 	line, err := s.r.ReadString('\n')
 	if err != nil || !strings.HasPrefix(line, "READY I") {
 		conn.Close()
