--- a/internal/tools/node/account_integration_test.go
+++ b/internal/tools/node/account_integration_test.go
@@ -44,7 +44,9 @@
 // declareAccounts declares client accounts and waits until every entry host serves a key.
 func (c *cluster) declareAccounts(version uint64, accounts, key string, entryHosts int) {
 	c.t.Helper()
-	c.eventually("declaration", func() bool { return postDeclaration(c.controlAddr(0), withAccounts(version, accounts)) == http.StatusOK })
+	c.eventually("declaration", func() bool {
+		return postDeclaration(c.controlAddr(0), withAccounts(version, accounts)) == http.StatusOK
+	})
 	for i := range entryHosts {
 		c.eventually("write with a key", func() bool {
 			s, err := openSessionAs(c.callerAddr(i), "orders", key)
--- a/internal/tools/node/cluster_integration_test.go
+++ b/internal/tools/node/cluster_integration_test.go
@@ -338,7 +338,9 @@
 }
 
 // openSession connects to an entry host and opens a session with a database.
-func openSession(addr, database string) (*caller, error) { return openSessionAs(addr, database, "tester") }
+func openSession(addr, database string) (*caller, error) {
+	return openSessionAs(addr, database, "tester")
+}
 
 // openSessionAs is like openSession, for a caller with a key.
 func openSessionAs(addr, database, key string) (*caller, error) {
