--- a/internal/tools/soak/caller.go
+++ b/internal/tools/soak/caller.go
@@ -41,16 +41,29 @@
 	pause time.Duration
 }
 
-// openSession connects to a host and opens a session on a database.
+// openSession connects to a host and opens a session on a database, for the account of those who write to or
+// read from it if the run has accounts.
 func (wl *workload) openSession(host int, database, kind string) (*session, error) {
+	if !wl.accounts {
+		return wl.openWithKey(host, database, kind, "", "soak")
+	}
+	account := accountWriters
+	if database == "parts" {
+		account = accountReaders
+	}
+	return wl.openWithKey(host, database, kind, account, keyOf(account))
+}
+
+// openWithKey connects to a host and opens a session on a database with a key of an account.
+func (wl *workload) openWithKey(host int, database, kind, account, key string) (*session, error) {
 	conn, err := net.DialTimeout("tcp", wl.callerAddrs[host], callerTimeout)
 	if err != nil {
 		return nil, err
 	}
-	s := &session{conn: conn, template: Statement{Host: wl.hostNames[host], Caller: kind, OpenedAt: time.Now()}, record: wl.recordStatement}
+	s := &session{conn: conn, template: Statement{Host: wl.hostNames[host], Caller: kind, Account: account, Key: key, OpenedAt: time.Now()}, record: wl.recordStatement}
 	s.r = bufio.NewReaderSize(slowReader{s}, 64<<10)
 	_ = conn.SetDeadline(time.Now().Add(callerTimeout))
-	fmt.Fprintf(conn, "STARTUP %s soak\r\n", database)
+	fmt.Fprintf(conn, "STARTUP %s %s\r\n", database, key)
 	line, err := s.r.ReadString('\n')
 	if err != nil || !strings.HasPrefix(line, "READY I") {
 		conn.Close()
@@ -167,6 +180,8 @@
 	// stay has callers keep each connection until its host ends it, and send the next statement within
 	// nextDelay.
 	stay bool
+	// accounts is set if callers belong to client accounts.
+	accounts bool
 
 	mu      sync.Mutex
 	history History
--- a/internal/tools/soak/check.go
+++ b/internal/tools/soak/check.go
@@ -59,6 +59,11 @@
 	Statements []Statement
 	Signals    []Signal
 	Faults     []Fault
+	// SpareKey and Limits are the declarations of the spare key and of the hot account's limit, in order.
+	SpareKey []KeyChange
+	Limits   []AccountLimit
+	// UnknownKeyAccepted are the hosts that opened a session for a key of no account.
+	UnknownKeyAccepted []string
 }
 
 // configApplyLimit is the time after its acknowledgment by which a configuration must be in force on
@@ -91,6 +96,7 @@
 			violations = append(violations, s)
 		}
 	}
+	violations = append(violations, h.checkAccounts()...)
 	cut, _ := h.judgeCuts()
 	return append(violations, cut...)
 }
--- a/internal/tools/soak/cut.go
+++ b/internal/tools/soak/cut.go
@@ -45,6 +45,9 @@
 	Host          string
 	Caller        string
 	InTransaction bool
+	// Account is the client account of the caller, and Key the key that it used; empty if there are none.
+	Account string
+	Key     string
 	// OpenedAt is when the connection was opened, and SentAt when the statement had been sent.
 	OpenedAt time.Time
 	SentAt   time.Time
--- a/internal/tools/soak/soak.go
+++ b/internal/tools/soak/soak.go
@@ -84,6 +84,7 @@
 	Options
 	rng      *rand.Rand
 	releases releases
+	accounts *accounts
 	plan     plan
 	control  []*host
 	entry    []*host
@@ -111,6 +112,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	r := &run{Options: opt, rng: rand.New(rand.NewPCG(opt.Seed, 0)), releases: releases{rng: rand.New(rand.NewPCG(opt.Seed, 1))}}
 	r.plan = plan{rng: rand.New(rand.NewPCG(opt.Seed, 2)), stopping: map[*host]*os.Process{}}
+	r.accounts = newAccounts(opt.Seed)
+	r.workload.accounts = r.accounts != nil
 	defer r.shutDown(cancel)
 	if r.Logf == nil {
 		r.Logf = func(string, ...any) {}
@@ -125,6 +128,10 @@
 	defer stop()
 	r.workload.stay = r.Planned != nil
 	r.workload.start(workloadCtx, opt.Seed, opt.Writers)
+	if r.accounts != nil {
+		r.declareAccounts(ctx)
+		r.workload.startHot(workloadCtx, opt.Seed)
+	}
 	if r.Planned != nil {
 		r.workload.startPlanned(workloadCtx, opt.Seed, *r.Planned)
 		r.runPlan(ctx)
@@ -232,8 +239,9 @@
 
 func (r *run) allHosts() []*host { return append(append([]*host(nil), r.control...), r.entry...) }
 
-// configBody returns the JSON of a configuration with the given version and connections per instance.
-func configBody(version uint64, maxConns int) []byte {
+// configBody returns the JSON of a configuration with the given version, connections per instance and client
+// accounts.
+func configBody(version uint64, maxConns int, accounts []map[string]any) []byte {
 	route := func(host, kind string, maxStaleness time.Duration) map[string]any {
 		return map[string]any{
 			"name": "r-" + host, "host": host, "path_prefix": "/", "type": kind, "timeout_ms": routeTimeout.Milliseconds(), "target_latency_ms": 200,
@@ -245,6 +253,7 @@
 		"routes":   []map[string]any{route("orders", "primary", 0), route("notes", "read_your_writes", notesAge), route("parts", "bounded_staleness", partsAge)},
 		"services": []map[string]any{{"name": "ledger", "max_conns": maxConns, "sync_replicas": 0}},
 		"limits":   map[string]any{"tx_idle_ms": 3000},
+		"tenants":  accounts,
 	})
 	if err != nil {
 		panic(err)
@@ -257,7 +266,7 @@
 func (r *run) replaceConfig(ctx context.Context, h *host) bool {
 	r.configVersion++
 	sentAt := time.Now()
-	if mimic.Post(ctx, "http://"+addr(h.ip, portControl)+"/config/replace", configBody(r.configVersion, r.group.MaxConns)) != nil {
+	if mimic.Post(ctx, "http://"+addr(h.ip, portControl)+"/config/replace", configBody(r.configVersion, r.group.MaxConns, r.accounts.declaration())) != nil {
 		return false
 	}
 	r.workload.mu.Lock()
@@ -324,6 +333,7 @@
 	for time.Now().Before(end) && ctx.Err() == nil {
 		r.injectFault(ctx)
 		r.releasePrimary(ctx, time.Now())
+		r.changeAccounts(ctx)
 		clock.Sleep(ctx, time.Duration(100+r.rng.IntN(700))*time.Millisecond)
 		r.runDueRecoveries(time.Now())
 		r.readConfig(r.control[r.rng.IntN(len(r.control))])
@@ -447,6 +457,7 @@
 		}
 	}
 	rep.Violations = append(rep.Violations, r.group.LateRequests()...)
+	rep.Violations = append(rep.Violations, r.leakedKeys()...)
 	if n := r.group.PeakConns(); n > r.group.MaxConns {
 		rep.Violations = append(rep.Violations, fmt.Sprintf("%d simultaneous connections to an instance exceed its limit", n))
 	}
