queue, pool, sess: Share slots between accounts, and serve late what has room

Cause: admission folds the two most urgent ranks into one class, where turns are taken by the age of requests and refusals by the shorter patience: with both ranks at an instance, scans (rank 0) were refused while lookups (rank 1) passed. It knows no client accounts, so one account's excess is paid by all. And a statement that can't have its slot within half its goal is refused, though its time limit would allow it and the slots have room.

Change: (1) From the first ticket with an account on, a queue gives each rank a class of its own (0, 1, 2 and the rest), in that order; a class yields to a later one whose ticket would miss its time, if its own keep half of theirs. Inside a class accounts have fair shares (start-time fair queueing), weighed by what they use usually; a full class refuses the account that is furthest ahead. (2) A statement that nothing else can serve (the primary alone, or the last candidate) may be late: it waits for slots that the others leave, for as long as twice its service time remains of its limit. How much they leave is observed at each slot that gets free; what will not be served so is refused at once. Requests in time keep their order. Without accounts the order stays as it was.

--- a/internal/traffic/lend/borrower.go
+++ b/internal/traffic/lend/borrower.go
@@ -52,7 +52,7 @@
 			return nil, err
 		}
 	}
-	return &borrowedConn{borrower: b, addr: addr, stream: c, openParams: &wire.LendRequest{Group: group, Instance: instance, Rank: int64(prio.Rank), Database: prio.Database, Patience: int64(waitLimit)}}, nil
+	return &borrowedConn{borrower: b, addr: addr, stream: c, openParams: &wire.LendRequest{Group: group, Instance: instance, Rank: int64(prio.Rank), Database: prio.Database, Patience: int64(waitLimit), Late: prio.MayBeLate}}, nil
 }
 
 // avoids reports whether the host at addr is avoided at present.
@@ -195,7 +195,7 @@
 	lendReq := &wire.LendRequest{Limit: int64(timeout), Values: values.Pairs(), Question: requestToWire(req), Last: last}
 	retryable := b.openParams != nil && !req.Writes
 	if b.openParams != nil {
-		lendReq.Group, lendReq.Instance, lendReq.Rank, lendReq.Database, lendReq.Patience = b.openParams.Group, b.openParams.Instance, b.openParams.Rank, b.openParams.Database, b.openParams.Patience
+		lendReq.Group, lendReq.Instance, lendReq.Rank, lendReq.Database, lendReq.Patience, lendReq.Late = b.openParams.Group, b.openParams.Instance, b.openParams.Rank, b.openParams.Database, b.openParams.Patience, b.openParams.Late
 		b.openParams = nil
 	}
 	if err := b.stream.SetDeadline(time.Now().Add(replyLimit(lendReq) + transitAllowance)); err != nil {
--- a/internal/traffic/lend/lend.go
+++ b/internal/traffic/lend/lend.go
@@ -235,7 +235,7 @@
 	if m == nil {
 		return nil, fault.New(fault.NotRun, fault.NoBackend, "this host does not lend connections to instance %s", req.Instance)
 	}
-	handle, err := m.OpenOwn(ctx, time.Duration(req.Patience), pool.Priority{Rank: int(req.Rank), Database: req.Database})
+	handle, err := m.OpenOwn(ctx, time.Duration(req.Patience), pool.Priority{Rank: int(req.Rank), Database: req.Database, MayBeLate: req.Late})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/traffic/pool/admission.go
+++ b/internal/traffic/pool/admission.go
@@ -45,15 +45,24 @@
 
 // classForRank returns the class of a rank: ranks up to one are urgent.
 func classForRank(rank int) spec.Class {
-	return spec.Class(max(int(spec.Urgent), min(rank-1, int(spec.Report))))
+	return sharedClassForRank(rank - 1)
+}
+
+// sharedClassForRank returns the class of a rank where slots are shared between accounts: each of the first
+// ranks has its own.
+func sharedClassForRank(rank int) spec.Class {
+	return spec.Class(max(int(spec.Urgent), min(rank, int(spec.Report))))
 }
 
 // newTicket returns the ticket of a statement that needs a slot before the deadline. Statements
 // inside a transaction are urgent, since the transaction has already used slots.
 func newTicket(prio Priority, inTransaction bool, deadline time.Time) queue.Ticket {
-	t := queue.Ticket{Class: classForRank(prio.Rank), Caller: prio.Database, Deadline: deadline, InTransaction: inTransaction}
+	t := queue.Ticket{
+		Class: classForRank(prio.Rank), SharedClass: sharedClassForRank(prio.Rank), Caller: prio.Database, Account: prio.Account, Deadline: deadline,
+		InTransaction: inTransaction,
+	}
 	if inTransaction {
-		t.Class = spec.Urgent
+		t.Class, t.SharedClass = spec.Urgent, spec.Urgent
 	}
 	return t
 }
@@ -61,7 +70,8 @@
 // beginTicket returns the ticket for opening a transaction. Opening takes no slot itself, but the
 // statements that follow do. A transaction therefore gets the next lower class and a higher cost:
 // under load, several single statements are served for each transaction of the same rank. Urgent
-// transactions stay in the urgent class at normal cost.
+// transactions stay in the urgent class at normal cost. Where slots are shared between accounts, a transaction is
+// opened in the class of its rank.
 func beginTicket(prio Priority, deadline time.Time) queue.Ticket {
 	t := newTicket(prio, false, deadline)
 	if t.Class != spec.Urgent {
@@ -71,8 +81,9 @@
 	return t
 }
 
-// acquire waits for a slot until the ticket's deadline. It returns false at once if the queue
-// refuses the ticket. If ok, release must be called after the answer.
+// acquire waits for a slot until the ticket's deadline or, if it may be late, as long as it can still have its
+// answer within its limit. It returns false at once if the queue refuses the ticket. If ok, release must be
+// called after the answer.
 func (a *admission) acquire(t queue.Ticket) (release func(), ok bool) {
 	ch := make(chan queue.Decision, 1)
 	a.mu.Lock()
@@ -81,9 +92,10 @@
 	a.waiting[t.ID] = ch
 	now := a.now()
 	a.deliver(a.queue.Enqueue(now, t))
-	a.mu.Unlock()
 	release = func() { a.release(t.ID) }
-	timer := time.NewTimer(t.Deadline.Sub(now))
+	latest := a.queue.Latest(t)
+	a.mu.Unlock()
+	timer := time.NewTimer(latest.Sub(now))
 	defer timer.Stop()
 	select {
 	case d := <-ch:
--- a/internal/traffic/pool/pool.go
+++ b/internal/traffic/pool/pool.go
@@ -131,6 +131,9 @@
 	Database string
 	// Account is the client account of the request, or "" if it has none.
 	Account string
+	// MayBeLate is set for a request that no other instance can serve. If no slot gets free within its wait
+	// limit, it waits for as long as its answer can still arrive within its time limit.
+	MayBeLate bool
 }
 
 // UrgentRank is the lowest rank. It goes before all requests of callers.
--- a/internal/traffic/pool/queued_handle.go
+++ b/internal/traffic/pool/queued_handle.go
@@ -65,7 +65,8 @@
 		return a, flow.Answered, nil
 	}
 	start := h.pool.Now()
-	release, ok := h.pool.admit(h.firstTicket(req.Op), req.Op)
+	limit := start.Add(timeout)
+	release, ok := h.pool.admit(h.firstTicket(req.Op, limit), req.Op)
 	if !ok {
 		return h.pool.overloaded(flow.Idle), flow.Answered, nil
 	}
@@ -75,7 +76,11 @@
 		defer release()
 	}
 	now := h.pool.Now()
-	c, err := h.pool.Get(context.Background(), h.deadline.Sub(now), h.prio)
+	deadline := h.deadline
+	if h.prio.MayBeLate && deadline.Before(limit) {
+		deadline = limit
+	}
+	c, err := h.pool.Get(context.Background(), deadline.Sub(now), h.prio)
 	if err != nil {
 		return flow.Answer{}, flow.Unsent, err
 	}
@@ -83,12 +88,16 @@
 	return c.runAdmitted(timeout-h.pool.Now().Sub(start), values, req)
 }
 
-// firstTicket returns the ticket of the handle's first request.
-func (h *queuedHandle) firstTicket(op flow.Op) queue.Ticket {
+// firstTicket returns the ticket of the handle's first request, which must be answered by limit.
+func (h *queuedHandle) firstTicket(op flow.Op, limit time.Time) queue.Ticket {
+	t := newTicket(h.prio, false, h.deadline)
 	if opensTransaction(op) {
-		return beginTicket(h.prio, h.deadline)
+		t = beginTicket(h.prio, h.deadline)
+	}
+	if h.prio.MayBeLate {
+		t.Limit = limit
 	}
-	return newTicket(h.prio, false, h.deadline)
+	return t
 }
 
 // Release implements Handle.
--- a/internal/traffic/queue/class_queue.go
+++ b/internal/traffic/queue/class_queue.go
@@ -2,11 +2,10 @@
 
 import (
 	"slices"
-	"time"
 )
 
 // classQueue holds the waiting tickets of one class: a FIFO list for each caller, served round
-// robin.
+// robin. In a queue that shares its slots between accounts, the callers are the accounts.
 type classQueue struct {
 	// callers are the callers with waiting tickets; the first one is served next.
 	callers  []string
@@ -19,10 +18,10 @@
 	if q.byCaller == nil {
 		q.byCaller = map[string][]Ticket{}
 	}
-	if len(q.byCaller[t.Caller]) == 0 {
-		q.callers = append(q.callers, t.Caller)
+	if len(q.byCaller[t.turn]) == 0 {
+		q.callers = append(q.callers, t.turn)
 	}
-	q.byCaller[t.Caller] = append(q.byCaller[t.Caller], t)
+	q.byCaller[t.turn] = append(q.byCaller[t.turn], t)
 	q.count++
 }
 
@@ -58,16 +57,12 @@
 }
 
 // popOldest removes and returns the ticket that has waited longest. The queue must not be empty.
-func (q *classQueue) popOldest() Ticket { return q.popOf(q.oldest().Caller) }
+func (q *classQueue) popOldest() Ticket { return q.popOf(q.oldest().turn) }
 
 func (q *classQueue) remove(id uint64) {
 	q.removeIf(func(t Ticket) bool { return t.ID == id })
 }
 
-func (q *classQueue) removeExpired(now time.Time) []Ticket {
-	return q.removeIf(func(t Ticket) bool { return !now.Before(t.Deadline) })
-}
-
 // removeIf removes all tickets that match and returns them in the order of callers.
 func (q *classQueue) removeIf(match func(Ticket) bool) []Ticket {
 	var out []Ticket
--- a/internal/traffic/queue/queue.go
+++ b/internal/traffic/queue/queue.go
@@ -1,5 +1,6 @@
-// Package queue schedules the slots of a backend server: by class, fair between the callers of
-// a class, and with early refusal of requests that cannot be served before their deadline.
+// Package queue schedules the slots of a backend server: by class, fair between the callers or the
+// client accounts of a class, and with early refusal of requests that cannot be served before their
+// deadline. Requests that may be late get the slots that the others leave.
 package queue
 
 import (
@@ -21,13 +22,24 @@
 	Class spec.Class
 	// Caller is the caller account; callers of a class are served round robin.
 	Caller string
-	// Deadline is the time by which the request must get its slot.
+	// Account is the client account, or "" if the request has none. The first ticket with an account makes the
+	// queue share its slots between accounts; see sharing.
+	Account string
+	// SharedClass replaces Class in a queue that shares its slots between accounts.
+	SharedClass spec.Class
+	// Deadline is the time by which the request must get its slot to be in time. If Limit is zero, it is
+	// refused after that.
 	Deadline time.Time
+	// Limit is the time by which the request must have its answer, though late. It is zero if it must not be
+	// late.
+	Limit time.Time
 	// InTransaction is set for a request inside an open transaction. It is never refused on
 	// arrival, since the transaction already holds a connection.
 	InTransaction bool
 	// arrivedAt is when the ticket was enqueued.
 	arrivedAt time.Time
+	// turn names who takes turns: the caller or, in a queue that shares its slots, the account.
+	turn string
 	// Cost is the expected number of requests including this one, for instance of a whole
 	// transaction; zero counts as one. The class is charged for all of them.
 	Cost int
@@ -53,7 +65,12 @@
 	// first while a class is overloaded. Without it callers take turns.
 	ShortestFirst bool
 
-	waiting [numClasses]classQueue
+	// waiting holds the tickets that can be in time, late those that can't be any more.
+	waiting, late [numClasses]classQueue
+	// spare is the share of the slots that the others leave to the late tickets of each class.
+	spare spare
+	// sharing is nil before the first ticket with an account.
+	sharing *sharing
 	// pass is the stride scheduling pass of each class; the class with the lowest is next.
 	pass        [numClasses]int
 	running     map[uint64]runningRequest
@@ -68,6 +85,7 @@
 	startedAt time.Time
 	class     spec.Class
 	caller    string
+	account   string
 	// single is set for a request outside of a transaction.
 	single bool
 }
@@ -86,19 +104,39 @@
 	if q.running == nil {
 		q.running = map[uint64]runningRequest{}
 	}
+	if t.Account != "" && q.sharing == nil {
+		q.share()
+	}
+	t.turn = t.Caller
+	if q.sharing != nil {
+		t.Class, t.turn = t.SharedClass, t.Account
+	}
 	if t.Class == spec.Urgent {
 		q.lastUrgent = now
 	}
 	t.arrivedAt = now
-	if reason := q.refusal(now, t); reason != "" {
-		return []Decision{{t.ID, reason}}
+	out := q.makeRoom(t)
+	reason := q.refusal(now, t)
+	switch {
+	case reason == "":
+		q.push(&q.waiting[t.Class], t)
+	case q.servesLate(now, t):
+		q.push(&q.late[t.Class], t)
+	default:
+		return append(out, Decision{t.ID, reason})
 	}
-	cq := &q.waiting[t.Class]
+	return q.dispatch(now, out)
+}
+
+// push adds a ticket to a list of its class.
+func (q *Queue) push(cq *classQueue, t Ticket) {
 	if cq.count == 0 {
 		q.pass[t.Class] = max(q.pass[t.Class], q.minPass())
 	}
+	if q.sharing != nil {
+		q.sharing.begin(t, q.waits(t))
+	}
 	cq.push(t)
-	return q.dispatch(now, nil)
 }
 
 // overloadDivisor divides the time that the oldest ticket of a class may wait in all; the class is
@@ -132,6 +170,9 @@
 
 // expectedWait estimates the queue wait of a new ticket from the service times of those ahead of it.
 func (q *Queue) expectedWait(now time.Time, t Ticket) time.Duration {
+	if q.sharing != nil {
+		return q.sharedWait(t)
+	}
 	ahead, work := 0, q.meanService
 	for c := range spec.Class(numClasses) {
 		if c > t.Class {
@@ -178,18 +219,24 @@
 func (q *Queue) Release(now time.Time, id uint64) []Decision {
 	if r, ok := q.running[id]; ok {
 		delete(q.running, id)
-		q.recordServiceTime(r, now.Sub(r.startedAt))
+		q.observeSpare()
+		q.recordServiceTime(now, r)
 	} else {
 		for c := range q.waiting {
 			q.waiting[c].remove(id)
+			q.late[c].remove(id)
 		}
 	}
 	return q.dispatch(now, nil)
 }
 
 // recordServiceTime adds a sample to the mean service times.
-func (q *Queue) recordServiceTime(r runningRequest, took time.Duration) {
+func (q *Queue) recordServiceTime(now time.Time, r runningRequest) {
+	took := now.Sub(r.startedAt)
 	q.meanService = smoothed(q.meanService, took)
+	if q.sharing != nil {
+		q.sharing.recordUse(now, r.account, took)
+	}
 	if !q.ShortestFirst || !r.single {
 		return
 	}
@@ -215,7 +262,7 @@
 func (q *Queue) Expire(now time.Time) []Decision {
 	var out []Decision
 	for c := range q.waiting {
-		for _, t := range q.waiting[c].removeExpired(now) {
+		for _, t := range q.waiting[c].removeIf(func(t Ticket) bool { return t.Limit.IsZero() && !now.Before(t.Deadline) }) {
 			out = append(out, Decision{t.ID, fault.Deadline})
 		}
 	}
@@ -224,21 +271,43 @@
 
 // dispatch gives free slots to waiting tickets and appends the decisions to out.
 func (q *Queue) dispatch(now time.Time, out []Decision) []Decision {
+	out = q.demote(now, out)
 	for len(q.running) < q.Slots {
-		c, ok := q.nextClass(now)
+		t, ok := q.next(now)
 		if !ok {
 			return out
 		}
-		t := q.next(now, c)
-		q.pass[c] += stride[c] * max(1, t.Cost)
-		q.running[t.ID] = runningRequest{startedAt: now, class: c, caller: t.Caller, single: !t.InTransaction && t.Cost == 0}
+		if q.sharing != nil {
+			q.sharing.serve(t, q.serviceTime(t.Caller))
+		}
+		q.running[t.ID] = runningRequest{
+			startedAt: now, class: t.Class, caller: t.Caller, account: t.Account, single: !t.InTransaction && t.Cost == 0,
+		}
 		out = append(out, Decision{ID: t.ID})
 	}
 	return out
 }
 
-// next removes and returns the ticket of a class that gets the next slot.
-func (q *Queue) next(now time.Time, c spec.Class) Ticket {
+// next removes and returns the ticket that gets the next slot. It reports false if no ticket can use one.
+func (q *Queue) next(now time.Time) (Ticket, bool) {
+	if q.sharing != nil {
+		return q.nextShared(now)
+	}
+	if c, ok := q.nextClass(now); ok {
+		t := q.nextOf(now, c)
+		q.pass[c] += stride[c] * max(1, t.Cost)
+		return t, true
+	}
+	for c := range spec.Class(numClasses) {
+		if q.late[c].count > 0 && !q.atReservedLimit(now, c) {
+			return q.late[c].popOldest(), true
+		}
+	}
+	return Ticket{}, false
+}
+
+// nextOf removes and returns the ticket in time of a class that gets the next slot.
+func (q *Queue) nextOf(now time.Time, c spec.Class) Ticket {
 	cq := &q.waiting[c]
 	switch {
 	case !q.ShortestFirst:
@@ -288,7 +357,7 @@
 func (q *Queue) Load() int {
 	n := len(q.running)
 	for c := range q.waiting {
-		n += q.waiting[c].count
+		n += q.waiting[c].count + q.late[c].count
 	}
 	return n
 }
--- a/internal/traffic/sess/execution.go
+++ b/internal/traffic/sess/execution.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/agatespindle/agatespindle/internal/base/clock"
@@ -181,7 +182,7 @@
 
 // try runs the statement at an instance. It reports false if another try should follow.
 func (e *execution) try(ctx context.Context, m *topo.Member, req flow.Request, effect flow.Effect) (flow.Answer, bool) {
-	conn, err := m.Open(ctx, e.queueWaitLimit(), e.priority())
+	conn, err := m.Open(ctx, e.queueWaitLimit(), e.priority(m))
 	if err != nil {
 		e.exclude(m.Instance)
 		e.recordFailure(m, flow.Unsent, err.Error(), effect)
@@ -273,16 +274,28 @@
 	return "replica"
 }
 
-// queueWaitLimit returns how long the statement may wait for a connection and an admission slot. It
-// is bounded by the database's target latency: a statement that would miss it is better refused early.
+// queueWaitLimit returns how long the statement may wait for a connection and an admission slot to be in
+// time. It is bounded by the database's target latency: a statement that would miss it is better tried
+// elsewhere. One that nothing else can serve may be late; see priority.
 func (e *execution) queueWaitLimit() time.Duration {
 	now := e.session.mgr.Now()
 	return min(e.remaining(now), max(minQueueWait, e.db.TargetLatency/queueWaitDivisor-now.Sub(e.started)))
 }
 
 // priority returns the order of the statement among others that wait for the same instance.
-func (e *execution) priority() pool.Priority {
-	return pool.Priority{Rank: e.db.Priority, Database: e.db.Name}
+func (e *execution) priority(m *topo.Member) pool.Priority {
+	return pool.Priority{Rank: e.db.Priority, Database: e.db.Name, MayBeLate: e.isLast(m)}
+}
+
+// isLast reports whether no other instance than m can serve the statement now, if m does not.
+func (e *execution) isLast(m *topo.Member) bool {
+	if e.needsPrimary {
+		return true
+	}
+	others := e.group.Candidates(e.session.mgr.Now(), e.excluded)
+	others = slices.DeleteFunc(others, func(c route.Candidate) bool { return c.Name == m.Instance })
+	_, ok := e.session.mgr.Costs.Pick(route.Requirement{}, others)
+	return !ok
 }
 
 // answerTimeout returns how long to wait for the answer. A read that a replica can serve has a shorter
--- a/internal/traffic/sess/transaction.go
+++ b/internal/traffic/sess/transaction.go
@@ -105,7 +105,7 @@
 // the answer; otherwise it could miss acknowledged writes. A host without a lease opens it as one
 // that may write, which a replaced primary refuses.
 func (s *Session) tryOpenOn(ctx context.Context, e *execution, m *topo.Member) bool {
-	conn, err := m.Open(ctx, e.queueWaitLimit(), e.priority())
+	conn, err := m.Open(ctx, e.queueWaitLimit(), e.priority(m))
 	if err != nil {
 		e.exclude(m.Instance)
 		e.recordFailure(m, flow.Unsent, err.Error(), flow.Reads)
