--- a/internal/base/link/stop_test.go
+++ b/internal/base/link/stop_test.go
@@ -34,6 +34,8 @@
 			return holdableConn{raw, &hold}, err
 		}}
 		defer d.Close()
+		// Close waits for a read that is held.
+		defer hold.Store(false)
 		c, err := d.Open(ctx, ln.Addr().String(), "answer")
 		So(err, ShouldBeNil)
 		So(c.Ping(time.Second), ShouldBeNil)
--- a/internal/traffic/pool/pool.go
+++ b/internal/traffic/pool/pool.go
@@ -148,6 +148,9 @@
 	// Account is the client account of the request, or "" if it has none. The request only runs on a
 	// connection that was opened for the account.
 	Account string
+	// MayBeLate is set for a request that no other instance can serve. If no slot gets free within its wait
+	// limit, it waits for as long as its answer can still arrive within its time limit.
+	MayBeLate bool
 }
 
 // own reports whether the request is one of this host itself, which may run on any connection.
