--- a/internal/traffic/sess/execution.go
+++ b/internal/traffic/sess/execution.go
@@ -194,7 +194,7 @@
 	}
 	sent := e.session.mgr.Now()
 	unproven := onPrimary && !e.fenced && !e.leased(sent)
-	answer, stage, err := conn.Run(e.answerTimeout(effect), e.session.values, req, !unproven)
+	answer, stage, err := conn.Run(e.answerTimeout(m, effect), e.session.values, req, !unproven)
 	now := e.session.mgr.Now()
 	if err != nil {
 		conn.Close()
@@ -299,11 +299,12 @@
 }
 
 // answerTimeout returns how long to wait for the answer. A read that a replica can serve has a shorter
-// timeout, because another instance can be tried; a write can only run at the primary.
-func (e *execution) answerTimeout(effect flow.Effect) time.Duration {
+// timeout, because another instance can be tried; a write can only run at the primary. The timeout is
+// longer where answers take longer: a read that was abandoned still occupies its slot.
+func (e *execution) answerTimeout(m *topo.Member, effect flow.Effect) time.Duration {
 	left := e.remaining(e.session.mgr.Now())
 	if effect == flow.Reads && !e.needsPrimary {
-		return min(left, readAnswerTimeout)
+		return min(left, max(readAnswerTimeout, slowAnswerFactor*m.Latency()))
 	}
 	return left
 }
--- a/internal/traffic/sess/sess.go
+++ b/internal/traffic/sess/sess.go
@@ -15,9 +15,11 @@
 )
 
 const (
-	// readAnswerTimeout is how long a read waits for an answer before another instance is tried. It
-	// is well above the longest execution time behind a full queue.
+	// readAnswerTimeout is how long a read waits at least for an answer before another instance is tried. It
+	// is well above the longest execution time behind a full queue, unless statements are slow.
 	readAnswerTimeout = 450 * time.Millisecond
+	// slowAnswerFactor is the number of mean answer times that a read waits at least for an answer.
+	slowAnswerFactor = 3
 	// busyRetryDelay is the delay before a busy instance is retried.
 	busyRetryDelay = 8 * time.Millisecond
 	// catchUpPollInterval is the interval between checks of whether a replica has caught up.
