pool: Test late service over an instance

A statement that nothing else serves waits past half of its goal while the slots are in use, others are refused then. The first fails without MayBeLate (Overloaded), so it shows that the flag reaches the queue.

--- a/internal/traffic/pool/queued_handle_test.go
+++ b/internal/traffic/pool/queued_handle_test.go
@@ -134,3 +134,50 @@
 		})
 	})
 }
+
+// TestStatementThatNothingElseServesMayBeLate answers statements that were refused after half of their goal, with
+// most of their time limit left, though the slots had room soon after.
+func TestStatementThatNothingElseServesMayBeLate(t *testing.T) {
+	Convey("Given an instance whose slots are in use for longer than a statement may wait", t, func() {
+		g, in, dial, _ := startInstance(t)
+		g.ExtraTime = func(text string) time.Duration {
+			if text == "READ long" {
+				return 4 * waitLimit
+			}
+			return 0
+		}
+		p := newPool(in, dial)
+		p.EnableAdmissionControl()
+		defer p.Shutdown()
+		run := func(text string, mayBeLate bool) flow.Answer {
+			h, err := p.NewHandle(context.Background(), waitLimit, pool.Priority{Rank: 2, MayBeLate: mayBeLate})
+			So(err, ShouldBeNil)
+			a, _, err := h.Run(20*waitLimit, flow.Values{}, flow.Request{ID: fmt.Sprint("s", mayBeLate), Text: text}, true)
+			So(err, ShouldBeNil)
+			h.Release()
+			return a
+		}
+		So(run("READ x", false).Code, ShouldEqual, flow.OK)
+		var long sync.WaitGroup
+		for i := range slots + 1 {
+			h, err := p.NewHandle(context.Background(), waitLimit, pool.Priority{Rank: 2})
+			So(err, ShouldBeNil)
+			long.Add(1)
+			go func() {
+				defer long.Done()
+				_, _, _ = h.Run(20*waitLimit, flow.Values{}, flow.Request{ID: fmt.Sprint("long", i), Text: "READ long"}, true)
+				h.Release()
+			}()
+		}
+		for p.Load() < slots+1 {
+			time.Sleep(time.Millisecond)
+		}
+		Convey("One that another instance can serve is refused in time for it", func() {
+			So(run("READ x", false).Code, ShouldEqual, flow.Overloaded)
+		})
+		Convey("One that nothing else serves gets its answer", func() {
+			So(run("READ x", true).Code, ShouldEqual, flow.OK)
+		})
+		long.Wait()
+	})
+}
