queue, pool: Count refusals of slots, and leave openings out of service times

Cause: an opening of a transaction gives its slot back at once and counted as a statement of 0 ms, so that waits were estimated too short where many transactions are opened. No counter told why the queue refused. Each decision copied all lists.

Change: where slots are shared between accounts openings are no sample (the old order's estimates stay as they were); slots.refused.REASON and slots.late; lists are copied only when a ticket leaves them.

--- a/internal/traffic/pool/admission.go
+++ b/internal/traffic/pool/admission.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/agatespindle/agatespindle/internal/base/fault"
 	"github.com/agatespindle/agatespindle/internal/control/spec"
 	"github.com/agatespindle/agatespindle/internal/traffic/flow"
 	"github.com/agatespindle/agatespindle/internal/traffic/queue"
@@ -74,6 +75,7 @@
 // opened in the class of its rank.
 func beginTicket(prio Priority, deadline time.Time) queue.Ticket {
 	t := newTicket(prio, false, deadline)
+	t.Opens = true
 	if t.Class != spec.Urgent {
 		t.Class = min(t.Class+1, spec.Report)
 		t.Cost = assumedTransactionCost
@@ -82,9 +84,9 @@
 }
 
 // acquire waits for a slot until the ticket's deadline or, if it may be late, as long as it can still have its
-// answer within its limit. It returns false at once if the queue refuses the ticket. If ok, release must be
-// called after the answer.
-func (a *admission) acquire(t queue.Ticket) (release func(), ok bool) {
+// answer within its limit. If the queue refuses the ticket, it returns the reason at once. Otherwise release must
+// be called after the answer; late is set if the ticket's deadline has passed.
+func (a *admission) acquire(t queue.Ticket) (release func(), late bool, refusal fault.Reason) {
 	ch := make(chan queue.Decision, 1)
 	a.mu.Lock()
 	a.lastID++
@@ -99,10 +101,10 @@
 	defer timer.Stop()
 	select {
 	case d := <-ch:
-		return release, d.Reason == ""
+		return release, a.now().After(t.Deadline), d.Reason
 	case <-timer.C:
 		release()
-		return nil, false
+		return nil, false, fault.Deadline
 	}
 }
 
@@ -115,12 +117,19 @@
 	if a == nil || !takesSlot(op) && !opensTransaction(op) {
 		return func() {}, true
 	}
-	release, ok = a.acquire(t)
-	if ok && opensTransaction(op) {
+	release, late, refusal := a.acquire(t)
+	if refusal != "" {
+		p.Meter.AddCounter("slots.refused."+string(refusal), 1)
+		return nil, false
+	}
+	if late {
+		p.Meter.AddCounter("slots.late", 1)
+	}
+	if opensTransaction(op) {
 		release()
 		release = func() {}
 	}
-	return release, ok
+	return release, true
 }
 
 // overloaded returns the answer to a request that got no slot in time and was not sent.
--- a/internal/traffic/queue/class_queue.go
+++ b/internal/traffic/queue/class_queue.go
@@ -65,8 +65,14 @@
 
 // removeIf removes all tickets that match and returns them in the order of callers.
 func (q *classQueue) removeIf(match func(Ticket) bool) []Ticket {
+	if !slices.ContainsFunc(q.callers, func(caller string) bool { return slices.ContainsFunc(q.byCaller[caller], match) }) {
+		return nil
+	}
 	var out []Ticket
 	for _, caller := range slices.Clone(q.callers) {
+		if !slices.ContainsFunc(q.byCaller[caller], match) {
+			continue
+		}
 		var rest []Ticket
 		for _, t := range q.byCaller[caller] {
 			if match(t) {
--- a/internal/traffic/queue/pressure_test.go
+++ b/internal/traffic/queue/pressure_test.go
@@ -386,6 +386,22 @@
 	})
 }
 
+// TestOpeningsAreNoServiceTimes guards against waits that are estimated too short, since many transactions are opened.
+func TestOpeningsAreNoServiceTimes(t *testing.T) {
+	Convey("Given a queue that shares its slots, and statements of 30 ms", t, func() {
+		q := &queue.Queue{Slots: 1, MaxWaiting: 8, ShortestFirst: true}
+		run := func(id uint64, opens bool, took time.Duration) {
+			q.Enqueue(start, queue.Ticket{ID: id, Account: "a", Caller: "c", Deadline: start.Add(time.Hour), Opens: opens})
+			q.Release(start.Add(took), id)
+		}
+		run(1, false, 30*time.Millisecond)
+		Convey("Openings of transactions leave their mean as it is", func() {
+			run(2, true, 0)
+			So(q.MeanServiceTime(), ShouldEqual, 30*time.Millisecond)
+		})
+	})
+}
+
 // TestLateRequestsGetWhatIsLeft checks the order of requests that can't be in time any more.
 func TestLateRequestsGetWhatIsLeft(t *testing.T) {
 	Convey("Given a request that waits past its time and may be late", t, func() {
@@ -401,6 +417,13 @@
 			So(q.Release(now, 1), ShouldResemble, []queue.Decision{{ID: 3}})
 			So(q.Release(now, 3), ShouldResemble, []queue.Decision{{ID: 2}})
 		})
+		Convey("So does one that comes after one that can't be in time", func() {
+			So(q.Release(now, 1), ShouldResemble, []queue.Decision{{ID: 2}})
+			soon := queue.Ticket{ID: 5, Class: spec.Normal, Deadline: now.Add(50 * time.Millisecond), Limit: now.Add(3 * time.Second)}
+			So(q.Enqueue(now, soon), ShouldBeEmpty)
+			So(q.Enqueue(now, ticket(6, spec.Normal)), ShouldBeEmpty)
+			So(q.Release(now.Add(10*time.Millisecond), 2), ShouldResemble, []queue.Decision{{ID: 6}})
+		})
 		Convey("It is refused once its answer would be too late", func() {
 			So(q.Release(now, 1), ShouldResemble, []queue.Decision{{ID: 2}})
 			q.Enqueue(now, queue.Ticket{ID: 4, Class: spec.Normal, Deadline: now.Add(300 * time.Millisecond), Limit: now.Add(800 * time.Millisecond)})
--- a/internal/traffic/queue/queue.go
+++ b/internal/traffic/queue/queue.go
@@ -36,6 +36,9 @@
 	// InTransaction is set for a request inside an open transaction. It is never refused on
 	// arrival, since the transaction already holds a connection.
 	InTransaction bool
+	// Opens is set for the opening of a transaction, which gives its slot back at once. In a queue that shares its
+	// slots, it is no sample of a service time.
+	Opens bool
 	// arrivedAt is when the ticket was enqueued.
 	arrivedAt time.Time
 	// turn names who takes turns: the caller or, in a queue that shares its slots, the account.
@@ -86,6 +89,7 @@
 	class     spec.Class
 	caller    string
 	account   string
+	opens     bool
 	// single is set for a request outside of a transaction.
 	single bool
 }
@@ -219,8 +223,10 @@
 func (q *Queue) Release(now time.Time, id uint64) []Decision {
 	if r, ok := q.running[id]; ok {
 		delete(q.running, id)
-		q.observeSpare()
-		q.recordServiceTime(now, r)
+		if !r.opens || q.sharing == nil {
+			q.observeSpare()
+			q.recordServiceTime(now, r)
+		}
 	} else {
 		for c := range q.waiting {
 			q.waiting[c].remove(id)
@@ -281,7 +287,7 @@
 			q.sharing.serve(t, q.serviceTime(t.Caller))
 		}
 		q.running[t.ID] = runningRequest{
-			startedAt: now, class: t.Class, caller: t.Caller, account: t.Account, single: !t.InTransaction && t.Cost == 0,
+			startedAt: now, class: t.Class, caller: t.Caller, account: t.Account, opens: t.Opens, single: !t.InTransaction && t.Cost == 0,
 		}
 		out = append(out, Decision{ID: t.ID})
 	}
