keep, pool: Keep connections for the accounts that use them

Cause: connections of client accounts were closed 0.6 s or 2 s after their last use, and those of any account gave way to any other; opening one takes 12 ms of a slot of the instance. Change: package keep decides, without a network, for whom a connection is opened, which idle one is closed for it, when an account waits for one of its own, and for which account one is opened ahead: by uses in which each counts half after 10 s, urgent ones twice. A first lender gets a larger share; for 4 s after its start or a growth of its share it keeps few, as the instance may still hold those of the hosts before. Without accounts nothing changes.

--- a/internal/control/place/place.go
+++ b/internal/control/place/place.go
@@ -199,6 +199,30 @@
 	return shares
 }
 
+// AccountShares is like Shares for connections that belong to client accounts. A dedicated first lender gets
+// all that the others do not need at once, because its connections serve far more accounts than the
+// instance has slots: another dedicated one gets one for each slot, an entry host a single one. As many as a
+// dedicated host needs at once are left to a first lender that starts again after a loss of power, whose former
+// connections the instance still holds.
+func AccountShares(maxConns, slots int, lenders []Lender) []int {
+	shares := Shares(maxConns, lenders)
+	if len(shares) == 0 || !lenders[0].Dedicated {
+		return shares
+	}
+	for i := 1; i < len(shares); i++ {
+		enough := 1
+		if lenders[i].Dedicated {
+			enough = slots + 1
+		}
+		if shares[i] > enough {
+			shares[0] += shares[i] - enough
+			shares[i] = enough
+		}
+	}
+	shares[0] = max(1, shares[0]-(slots+1))
+	return shares
+}
+
 // dedicatedLenders returns the dedicated hosts for an instance in the order in which they are
 // used, by rendezvous hashing: one in its data centre, then up to standbyLenders others. It
 // returns nil if the instance's data centre has no dedicated host, because all traffic would then
--- a/internal/traffic/pool/account_test.go
+++ b/internal/traffic/pool/account_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/agatespindle/agatespindle/internal/base/clock"
 	"github.com/agatespindle/agatespindle/internal/traffic/flow"
 	"github.com/agatespindle/agatespindle/internal/traffic/pool"
 )
@@ -30,6 +32,10 @@
 		p := newPool(in, dial)
 		p.SetConnLimits(6, 5)
 		defer p.Shutdown()
+		started := p.Now()
+		// The host has run for long: after its start it keeps fewer.
+		p.Now = func() time.Time { return clock.Monotonic().Add(time.Minute) }
+		So(p.Now().Sub(started), ShouldBeGreaterThan, 30*time.Second)
 		Convey("Each statement runs on a connection of its account, and the limit is never exceeded", func() {
 			for i := range 24 {
 				account, id := fmt.Sprint("a", i%8), fmt.Sprint("s", i)
@@ -69,3 +75,43 @@
 		})
 	})
 }
+
+// TestFewConnectionsAfterAStart guards against an instance that must turn away connections, because it holds
+// those that a host had before a loss of power for 3 s, in addition to its new ones.
+func TestFewConnectionsAfterAStart(t *testing.T) {
+	Convey("Given a host with a share of twenty that has just started, and twelve accounts", t, func() {
+		g, in, dial, _ := startInstance(t)
+		var later atomic.Int64
+		p := newPool(in, dial)
+		p.Now = func() time.Time { return clock.Monotonic().Add(time.Duration(later.Load())) }
+		p.SetConnLimits(30, 20)
+		defer p.Shutdown()
+		serveAll := func(round string) {
+			for i := range 12 {
+				So(runFor(p, fmt.Sprint("a", i), fmt.Sprint(round, i)), ShouldEqual, flow.OK)
+			}
+		}
+		serveAll("first")
+		Convey("It keeps about as many as the instance has slots, and more 4 s later", func() {
+			So(g.PeakConns(), ShouldBeLessThanOrEqualTo, slots+2)
+			later.Store(int64(5 * time.Second))
+			serveAll("second")
+			So(in.Conns(), ShouldBeGreaterThanOrEqualTo, 12)
+		})
+		Convey("When its share grows, it keeps as many as before for 4 s", func() {
+			later.Store(int64(5 * time.Second))
+			serveAll("second")
+			p.SetConnLimits(30, 12)
+			p.SetConnLimits(30, 25)
+			for i := range 8 {
+				So(runFor(p, fmt.Sprint("b", i), fmt.Sprint("third", i)), ShouldEqual, flow.OK)
+			}
+			So(g.PeakConns(), ShouldBeLessThanOrEqualTo, 13)
+			later.Store(int64(10 * time.Second))
+			for i := range 8 {
+				So(runFor(p, fmt.Sprint("c", i), fmt.Sprint("fourth", i)), ShouldEqual, flow.OK)
+			}
+			So(in.Conns(), ShouldBeGreaterThan, 13)
+		})
+	})
+}
--- a/internal/traffic/pool/conn.go
+++ b/internal/traffic/pool/conn.go
@@ -8,6 +8,7 @@
 
 	"github.com/agatespindle/agatespindle/internal/backend/adapt"
 	"github.com/agatespindle/agatespindle/internal/traffic/flow"
+	"github.com/agatespindle/agatespindle/internal/traffic/keep"
 )
 
 const (
@@ -55,6 +56,8 @@
 	idleSince     time.Time
 	// account is the client account that the connection was opened for, or "" for the proxy itself.
 	account string
+	// usage is how much the requests of its account have used it.
+	usage keep.Usage
 	// prio is the priority of the current use.
 	prio Priority
 	// slotDeadline is the latest time at which the first statement of the current use must get
--- a/internal/traffic/pool/dial.go
+++ b/internal/traffic/pool/dial.go
@@ -10,25 +10,17 @@
 	"github.com/agatespindle/agatespindle/internal/traffic/flow"
 )
 
-// dialForWaiting starts to open connections for the waiters, within the limits. If the host may have no
-// more, it closes idle connections, which are of other accounts. The caller holds mu.
+// dialForWaiting starts to open connections for the waiters, within the limits. The caller holds mu.
 func (p *Pool) dialForWaiting(now time.Time) {
 	if len(p.waiting) == 0 || now.Before(p.connLimitUntil) {
 		return
 	}
-	needed := map[string]int{}
-	for _, w := range p.waiting {
-		if p.dialing >= maxConcurrentDials {
-			return
-		}
-		needed[w.prio.Account]++
-		if needed[w.prio.Account] <= p.dialingFor[w.prio.Account] {
-			continue
-		}
-		if p.open+p.dialing >= p.maxConnsNow(now) && !p.evictIdle() {
-			return
-		}
-		p.startDial(w.prio.Account)
+	if p.accounts {
+		p.dialForAccounts(now)
+		return
+	}
+	for p.dialing < min(len(p.waiting), maxConcurrentDials) && p.open+p.dialing < p.maxConnsNow(now) {
+		p.startDial("")
 	}
 }
 
@@ -42,19 +34,6 @@
 	go p.dial(account)
 }
 
-// evictIdle closes the connection that has been idle for the longest time, in favour of one for another
-// account. It reports false if none is idle. The caller holds mu.
-func (p *Pool) evictIdle() bool {
-	if len(p.idle) == 0 {
-		return false
-	}
-	p.idle[0].raw.Close()
-	p.idle = p.idle[1:]
-	p.open--
-	p.Meter.AddCounter("connections.evicted", 1)
-	return true
-}
-
 // maxConnsNow returns how many connections this host may currently have: only its share for a
 // period after its start. The caller holds mu.
 func (p *Pool) maxConnsNow(now time.Time) int {
@@ -65,6 +44,9 @@
 	if now.Before(p.shareOnlyUntil) {
 		limit = min(limit, max(1, p.share))
 	}
+	if p.accounts && (now.Before(p.shareOnlyUntil) || now.Before(p.shareGrowsAt)) {
+		limit = min(limit, max(p.Slots+extraInFlight, p.maxConns/2))
+	}
 	return limit
 }
 
@@ -86,7 +68,6 @@
 	default:
 		p.markReachable(now)
 		p.open++
-		p.accounts = p.accounts || account != ""
 		p.assign(now, c)
 		p.dialForWaiting(now)
 	}
@@ -127,6 +108,7 @@
 	}
 	if i := slices.IndexFunc(p.waiting, func(w *waiter) bool { return c.serves(w.prio) }); i >= 0 {
 		w := p.waiting[i]
+		p.use(now, c, w.prio)
 		p.waiting = slices.Delete(p.waiting, i, i+1)
 		w.done <- connResult{conn: c}
 		return
--- a/internal/traffic/pool/pool.go
+++ b/internal/traffic/pool/pool.go
@@ -16,6 +16,7 @@
 	"github.com/agatespindle/agatespindle/internal/base/logs"
 	"github.com/agatespindle/agatespindle/internal/base/meter"
 	"github.com/agatespindle/agatespindle/internal/traffic/flow"
+	"github.com/agatespindle/agatespindle/internal/traffic/keep"
 )
 
 const (
@@ -33,7 +34,7 @@
 	shareIdleTimeout = 2 * time.Second
 	// accountIdleTimeout is how long an idle connection within the share stays open if connections belong
 	// to client accounts.
-	accountIdleTimeout = 20 * time.Second
+	accountIdleTimeout = 30 * time.Second
 	// shareOnlyPeriod is how long a host stays within its share after its start. An instance holds
 	// the connections of hosts that lost power for 3 s.
 	shareOnlyPeriod = 4 * time.Second
@@ -118,8 +119,15 @@
 	// only if connections belong to accounts.
 	fullAt    int
 	fullUntil time.Time
-	// accounts is set once a connection was opened for a client account.
+	// accounts is set once a request of a client account has come.
 	accounts bool
+	// busy has the number of connections in use by client account.
+	busy   map[string]int
+	demand keep.Demand
+	// formerShare is the share before its last increase, which applies until shareGrowsAt if connections
+	// belong to accounts: the hosts that had the rest may hold it for a while.
+	formerShare  int
+	shareGrowsAt time.Time
 	// shareOnlyUntil is the end of the period in which this host stays within its share.
 	shareOnlyUntil time.Time
 	// standby is set if this host lends connections only if the first lender fails.
@@ -159,6 +167,7 @@
 // waiter is a goroutine that waits for a connection.
 type waiter struct {
 	prio     Priority
+	since    time.Time
 	deadline time.Time
 	// done gets exactly one result, or none if the waiter gives up.
 	done chan connResult
@@ -182,9 +191,29 @@
 		p.shareOnlyUntil = p.Now().Add(shareOnlyPeriod)
 	}
 	p.maxConns = UsableConns(limit)
+	if now := p.Now(); share > p.share && !now.Before(p.shareOnlyUntil) {
+		p.formerShare, p.shareGrowsAt = p.shareNow(now), now.Add(shareOnlyPeriod)
+	}
 	p.share = share
 }
 
+// shareNow returns how many connections this host may keep at present. If they belong to accounts, the share is
+// a large part of what the instance accepts; until an earlier run of this host, or the host that had the share
+// before, can no longer hold it, this host keeps no more than the instance's slots need. The caller holds mu.
+func (p *Pool) shareNow(now time.Time) int {
+	if !p.accounts {
+		return p.share
+	}
+	few := p.Slots + extraInFlight
+	switch {
+	case now.Before(p.shareOnlyUntil):
+		return min(p.share, few)
+	case now.Before(p.shareGrowsAt):
+		return min(p.share, max(p.formerShare, few))
+	}
+	return p.share
+}
+
 // SetStandby sets whether this host is a standby lender, which other hosts ask only if the first
 // lender fails. After its start, a standby opens no connections in advance while connections to the
 // instance may be scarce; the first lender needs them more.
@@ -288,7 +317,12 @@
 func (p *Pool) Get(ctx context.Context, waitLimit time.Duration, prio Priority) (*Conn, error) {
 	now := p.Now()
 	p.mu.Lock()
+	if prio.Account != "" {
+		p.accounts = true
+		p.demand.Record(now, prio.Account, prio.Rank)
+	}
 	if c := p.takeIdle(now, prio); c != nil {
+		p.use(now, c, prio)
 		p.mu.Unlock()
 		return p.beginUse(c, prio, now.Add(waitLimit)), nil
 	}
@@ -300,7 +334,7 @@
 		p.mu.Unlock()
 		return nil, p.connLimitError()
 	}
-	w := &waiter{prio: prio, deadline: now.Add(waitLimit), done: make(chan connResult, 1)}
+	w := &waiter{prio: prio, since: now, deadline: now.Add(waitLimit), done: make(chan connResult, 1)}
 	p.enqueue(w)
 	p.dialForWaiting(now)
 	p.mu.Unlock()
@@ -370,11 +404,8 @@
 // takeIdle removes and returns the most recently used idle connection that serves the request and is
 // healthy, or nil. It closes unhealthy ones. The caller holds mu.
 func (p *Pool) takeIdle(now time.Time, prio Priority) *Conn {
-	for i := len(p.idle) - 1; i >= 0; i-- {
+	for i := p.nextIdle(now, prio); i >= 0; i = p.nextIdle(now, prio) {
 		c := p.idle[i]
-		if !c.serves(prio) {
-			continue
-		}
 		p.idle = slices.Delete(p.idle, i, i+1)
 		if now.Sub(c.idleSince) < socketCheckAfter && c.r.Buffered() == 0 {
 			return c
@@ -389,12 +420,27 @@
 	return nil
 }
 
+// nextIdle returns the index of the idle connection that a request gets, or -1: the most recently used one of
+// its account. A request of this host itself gets the one that the accounts need least. The caller holds mu.
+func (p *Pool) nextIdle(now time.Time, prio Priority) int {
+	if p.accounts && prio.own() {
+		return keep.Least(now, p.idleUsages())
+	}
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if p.idle[i].serves(prio) {
+			return i
+		}
+	}
+	return -1
+}
+
 // putBack returns a connection to the pool after use.
 func (p *Pool) putBack(c *Conn) {
 	p.load.Add(-1)
 	now := p.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.unuse(c)
 	p.assign(now, c)
 	if p.accounts {
 		p.dialForWaiting(now)
@@ -408,6 +454,7 @@
 	now := p.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.unuse(c)
 	p.open--
 	if !p.closed {
 		p.recordConnFailure(now)
@@ -426,24 +473,40 @@
 	if p.pending > 0 && now.Sub(p.unansweredSince) > unansweredLimit {
 		p.recordConnFailure(p.unansweredSince)
 	}
-	for len(p.idle) > 0 && p.idleExpired(now.Sub(p.idle[0].idleSince)) {
-		p.idle[0].raw.Close()
-		p.idle = p.idle[1:]
-		p.open--
-	}
+	p.closeExpired(now)
 	if p.share == 0 || p.standby && now.Before(p.shareOnlyUntil) {
 		return
 	}
 	if p.open+p.dialing == 0 && !p.down && !p.probing && !now.Before(p.connLimitUntil) {
-		p.startDial("")
+		account, _ := p.foremost(now)
+		p.startDial(account)
 	}
 	p.dialForWaiting(now)
+	p.dialAhead(now)
+}
+
+// closeExpired closes connections that were idle for too long. The caller holds mu.
+func (p *Pool) closeExpired(now time.Time) {
+	for len(p.idle) > 0 && p.idleExpired(now, now.Sub(p.idle[0].idleSince)) {
+		expired := 0
+		if p.accounts && p.open > p.shareNow(now) {
+			expired = keep.Least(now, p.idleUsages())
+		}
+		p.closeIdle(expired)
+	}
+}
+
+// closeIdle closes an idle connection. The caller holds mu.
+func (p *Pool) closeIdle(i int) {
+	p.idle[i].raw.Close()
+	p.idle = slices.Delete(p.idle, i, i+1)
+	p.open--
 }
 
 // idleExpired reports whether a connection that was idle for the given time must be closed. The
 // caller holds mu.
-func (p *Pool) idleExpired(idle time.Duration) bool {
-	if p.open > p.share {
+func (p *Pool) idleExpired(now time.Time, idle time.Duration) bool {
+	if p.open > p.shareNow(now) {
 		return idle > surplusIdleTimeout
 	}
 	if p.accounts {
--- a/internal/traffic/topo/lenders.go
+++ b/internal/traffic/topo/lenders.go
@@ -120,6 +120,9 @@
 // since requests that bypass the control hosts are neither ordered nor counted there.
 func (t *Topology) applyShares(m *Member, lenders []place.Lender) {
 	shares := place.Shares(pool.UsableConns(m.connectionLimit), lenders)
+	if t.accounts != nil {
+		shares = place.AccountShares(pool.UsableConns(m.connectionLimit), m.Slots, lenders)
+	}
 	lenders = lenders[:len(shares)]
 	m.dedicatedCount = 0
 	for m.dedicatedCount < len(lenders) && lenders[m.dedicatedCount].Dedicated {
@@ -140,7 +143,7 @@
 		m.SetStandby(i > 0)
 		break
 	}
-	m.SetConnLimits(m.connectionLimit, own)
+	m.share = own
 }
 
 // Member returns an instance of a group in the current snapshot, or nil.
--- a/internal/traffic/topo/topology.go
+++ b/internal/traffic/topo/topology.go
@@ -150,6 +150,8 @@
 	// instance accepts.
 	center          string
 	connectionLimit int
+	// share is the number of those connections that this host may keep.
+	share int
 
 	topology *Topology
 	state    *memberState
@@ -270,6 +272,11 @@
 		next.Groups[declared.Name] = t.buildGroup(v, declared, hosts, seen)
 	}
 	t.assignLenders(next, hosts)
+	for _, g := range next.Groups {
+		for _, m := range g.Members {
+			m.SetConnLimits(m.connectionLimit, m.share)
+		}
+	}
 	for name, m := range t.members {
 		if !seen[name] {
 			m.Shutdown()
@@ -334,7 +341,7 @@
 			since, _ := v.LeavingSince(r.Name, r.Backend.Born)
 			m.SetLeaveDeadline(t.LeaveBound.Deadline(since))
 		}
-		m.SetConnLimits(declared.MaxConnections, t.directShare(declared.MaxConnections, hosts))
+		m.share = t.directShare(declared.MaxConnections, hosts)
 		m.center, m.connectionLimit = r.Backend.Center, declared.MaxConnections
 		seen[r.Name] = true
 		g.Members = append(g.Members, m)
