topo, meter: Show connections by client account

Cause: an operator cannot see whose connections an instance's limit goes to. Change: every 2 s a host sets a gauge for each of the eight accounts with the most connections, and one for all others; those of accounts that are no longer among them are removed.

--- a/internal/base/meter/meter.go
+++ b/internal/base/meter/meter.go
@@ -52,6 +52,9 @@
 	metrics.GetOrRegisterGauge(name, m.registry).Update(n)
 }
 
+// RemoveGauge removes the named gauge, if there is one.
+func (m *Meter) RemoveGauge(name string) { m.registry.Unregister(name) }
+
 // RecordDuration adds a duration to the named histogram, with a resolution of 1 µs.
 func (m *Meter) RecordDuration(name string, d time.Duration) {
 	m.mu.Lock()
--- a/internal/traffic/pool/account.go
+++ b/internal/traffic/pool/account.go
@@ -90,3 +90,17 @@
 		delete(p.busy, c.account)
 	}
 }
+
+// CountByAccount adds the numbers of open connections by client account to counts.
+func (p *Pool) CountByAccount(counts map[string]int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle {
+		if c.account != "" {
+			counts[c.account]++
+		}
+	}
+	for account, n := range p.busy {
+		counts[account] += n
+	}
+}
--- a/internal/traffic/topo/topology.go
+++ b/internal/traffic/topo/topology.go
@@ -82,6 +82,10 @@
 	manifest         spec.Manifest
 	databases        map[string]spec.Database
 	accounts         map[spec.KeyDigest]string
+	// accountMetrics are the gauges of connections by account, last set at accountsReportedAt. Only Run uses
+	// them.
+	accountMetrics     map[string]int
+	accountsReportedAt time.Time
 	// chosenLenders are the lenders of lentInstances, chosen from lenderCandidates.
 	chosenLenders    map[string][]place.Lender
 	lentInstances    []place.Instance
@@ -254,6 +258,7 @@
 			m.Maintain(now)
 		}
 	}
+	t.reportAccounts(now)
 	if t.primaryHealthChanged(now) {
 		t.Agent.RenewNow()
 	}
