--- a/internal/backend/mimic/group.go
+++ b/internal/backend/mimic/group.go
@@ -51,6 +51,8 @@
 	QueueLimit int
 	// StatementTime is how long a statement occupies its slot.
 	StatementTime time.Duration
+	// OpeningTime is how long the startup of a connection occupies a slot.
+	OpeningTime time.Duration
 	// ExtraTime, if set, returns how much longer than that a statement takes.
 	ExtraTime func(text string) time.Duration
 	// LeaveBound is how long after the acknowledgment of its announcement an instance that leaves may
--- a/internal/backend/mimic/instance.go
+++ b/internal/backend/mimic/instance.go
@@ -228,6 +228,7 @@
 		return
 	}
 	defer in.unregister(c)
+	in.occupySlot(in.group.OpeningTime)
 	in.group.mu.Lock()
 	s.writeReady()
 	in.group.mu.Unlock()
@@ -331,6 +332,18 @@
 	return s.execute(id, text)
 }
 
+// occupySlot occupies a slot for a time, once one is free.
+func (in *Instance) occupySlot(d time.Duration) {
+	if in.slots == nil || d == 0 {
+		return
+	}
+	in.slots <- struct{}{}
+	start := time.Now()
+	time.Sleep(d)
+	in.slotNanos.Add(int64(time.Since(start)))
+	<-in.slots
+}
+
 // refuseBusy answers a statement with BUSY because no slot is free.
 func (s *session) refuseBusy() bool {
 	s.in.refused.Add(1)
--- a/internal/traffic/pool/account_test.go
+++ b/internal/traffic/pool/account_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -115,3 +118,57 @@
 		})
 	})
 }
+
+// TestManyAccountsAtOnce plays many callers of thirty accounts of unequal size, at an instance that accepts
+// thirteen connections and whose slots also open them.
+func TestManyAccountsAtOnce(t *testing.T) {
+	Convey("Given sixteen callers of thirty accounts and one host that orders their requests", t, func() {
+		g, in, dial, opened := startInstance(t)
+		g.MaxConns, g.RecordRuns, g.StatementTime, g.OpeningTime = 13, true, 3*time.Millisecond, time.Millisecond
+		p := newPool(in, dial)
+		p.Now = func() time.Time { return clock.Monotonic().Add(time.Minute) }
+		p.SetConnLimits(13, 10)
+		p.EnableAdmissionControl()
+		defer p.Shutdown()
+		const callers, each = 16, 30
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		served := map[string]string{}
+		for caller := range callers {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				r := rand.New(rand.NewPCG(uint64(caller), 7))
+				for n := range each {
+					account, id := fmt.Sprint("a", int(30*math.Pow(r.Float64(), 3))), fmt.Sprintf("%d-%d", caller, n)
+					h, err := p.NewHandle(context.Background(), 5*time.Second, pool.Priority{Rank: 2, Database: "d", Account: account})
+					if err != nil {
+						continue
+					}
+					a, _, err := h.Run(5*time.Second, flow.Values{}, flow.Request{ID: id, Text: "READ x"}, true)
+					if err != nil {
+						h.Close()
+						continue
+					}
+					h.Release()
+					if a.Code == flow.OK {
+						mu.Lock()
+						served[id] = account
+						mu.Unlock()
+					}
+				}
+			}()
+		}
+		wg.Wait()
+		Convey("All are served, each on a connection of its account, within the limit, and most on one that was open", func() {
+			So(served, ShouldHaveLength, callers*each)
+			for id, account := range served {
+				So(g.Runs(id)[0].Account, ShouldEqual, account)
+			}
+			So(g.PeakConns(), ShouldBeLessThanOrEqualTo, 13)
+			So(p.Meter.CounterValue("connections.refused.toomany"), ShouldEqual, 0)
+			So(opened.Load(), ShouldBeLessThan, callers*each*6/10)
+			t.Logf("%d connections opened for %d statements", opened.Load(), callers*each)
+		})
+	})
+}
