spec, sess: Need keys also after the last account is gone

Cause: a manifest from which the last account was removed would have opened all databases to anybody. Ten thousand accounts are declared in a test through the API.

--- a/internal/control/spec/manifest.go
+++ b/internal/control/spec/manifest.go
@@ -31,8 +31,10 @@
 	Groups    []ManifestGroup `json:"groups"`
 	// TransactionIdleTimeout is how long a transaction may stay idle; zero means no limit.
 	TransactionIdleTimeout time.Duration `json:"idle"`
-	// Accounts are the client accounts. If there are none, callers need no key.
+	// Accounts are the client accounts.
 	Accounts []Account `json:"accounts,omitempty"`
+	// Keyed is set if callers need a key although there may be no account, as when the last one was removed.
+	Keyed bool `json:"keyed,omitempty"`
 }
 
 // Database is a database that callers connect to by name.
@@ -67,6 +69,9 @@
 	SyncReplicas int `json:"copies"`
 }
 
+// NeedsKeys reports whether callers need the key of an account for databases that are not public.
+func (m Manifest) NeedsKeys() bool { return m.Keyed || len(m.Accounts) > 0 }
+
 // Validate returns all errors in a manifest, or none if it is valid.
 func (m Manifest) Validate() []FieldError {
 	var fieldErrors []FieldError
--- a/internal/tools/node/account_integration_test.go
+++ b/internal/tools/node/account_integration_test.go
@@ -174,3 +174,32 @@
 		})
 	})
 }
+
+// TestManyAccountsAreDeclared declares ten thousand accounts through the API.
+func TestManyAccountsAreDeclared(t *testing.T) {
+	Convey("Given a deployment with ten thousand client accounts", t, func() {
+		c := startCluster(t, 3, 1, false)
+		var b strings.Builder
+		b.WriteString("[")
+		for i := range 10_000 {
+			if i > 0 {
+				b.WriteString(",")
+			}
+			fmt.Fprintf(&b, `{"name":"client%d","api_keys":["key%da","key%db"],"rate_per_s":370,"burst":370}`, i, i, i)
+		}
+		b.WriteString("]")
+		c.declareAccounts(1, b.String(), "key9999b", 1)
+		Convey("What was declared is read back byte for byte, and each key opens sessions", func() {
+			So(fetchDeclaration(c.controlAddr(0)) == string(withAccounts(1, b.String())), ShouldBeTrue)
+			for _, key := range []string{"key0a", "key5000b"} {
+				So(startupReply(c.callerAddr(0), "orders", key), ShouldEqual, "READY")
+			}
+			So(startupReply(c.callerAddr(0), "orders", "key10000a"), ShouldContainSubstring, "DENIED")
+		})
+		Convey("One of them with a key of another one is refused, and nothing changes", func() {
+			twice := strings.Replace(b.String(), "key77a", "key9a", 1)
+			So(postDeclaration(c.controlAddr(0), withAccounts(2, twice)), ShouldEqual, http.StatusBadRequest)
+			So(startupReply(c.callerAddr(0), "orders", "key77a"), ShouldEqual, "READY")
+		})
+	})
+}
--- a/internal/traffic/sess/account.go
+++ b/internal/traffic/sess/account.go
@@ -8,6 +8,9 @@
 // or none is needed. Statements to a database that is no longer declared have an answer of their own. It does not use what only the goroutine of a running statement may use.
 func (s *Session) Entitled() bool {
 	snapshot := s.mgr.Topology.Snapshot()
+	if snapshot.Accounts == nil {
+		return true
+	}
 	db, declared := snapshot.Databases[s.database]
 	_, ok := snapshot.AccountOf(db, s.key)
 	return ok || !declared
--- a/internal/traffic/sess/account_test.go
+++ b/internal/traffic/sess/account_test.go
@@ -164,6 +164,14 @@
 			So(runAs(s, "t6", flow.Read, "READ x").Code, ShouldEqual, flow.OK)
 			So(h.ranFor("t6"), ShouldResemble, []string{"second"})
 		})
+		Convey("Without any account left, only the public database can be used", func() {
+			h.manifest.Keyed = true
+			h.declare()
+			So(s.Entitled(), ShouldBeFalse)
+			_, code := h.Open("strong", "key-2")
+			So(code, ShouldEqual, flow.Denied)
+			h.openWith("open", "key-2")
+		})
 		Convey("A key given back opens sessions again", func() {
 			h.declare(account("second", "key-2"))
 			_, code := h.Open("strong", "key-1")
--- a/internal/traffic/topo/topology.go
+++ b/internal/traffic/topo/topology.go
@@ -102,8 +102,8 @@
 	Groups         map[string]*Group
 	// TxIdleLimit is how long a transaction may be idle; zero means no limit.
 	TxIdleLimit time.Duration
-	// Accounts has the names of the client accounts by the digests of their keys. It is nil if the manifest
-	// declares no accounts, so that callers need no key.
+	// Accounts has the names of the client accounts by the digests of their keys. It is nil if
+	// callers need no key.
 	Accounts map[spec.KeyDigest]string
 }
 
@@ -315,7 +315,7 @@
 		}
 	}
 	t.accounts = nil
-	if len(m.Accounts) > 0 {
+	if m.NeedsKeys() {
 		t.accounts = map[spec.KeyDigest]string{}
 	}
 	for _, a := range m.Accounts {
