spec, intake: Describe all errors of a manifest at once, in a bounded text

Cause: only the first error was told; names of any length went into errors and log lines. Change: up to a hundred errors with their places and the number of the others; an account's name is a word of at most 255 bytes. Measured: go test of spec and platform.

--- a/internal/control/intake/intake.go
+++ b/internal/control/intake/intake.go
@@ -37,11 +37,11 @@
 
 // DeclareManifest appends a manifest and its source text to the replicated log and returns once
 // they are durable. If the manifest is invalid, it returns a fault with reason Invalid that
-// describes the first error.
+// describes its errors.
 func (f *Forwarder) DeclareManifest(ctx context.Context, m spec.Manifest, source []byte) error {
 	if fieldErrors := m.Validate(); len(fieldErrors) > 0 {
 		f.Meter.CountRefusal(fault.Invalid)
-		return fault.New(fault.NotRun, fault.Invalid, "%s: %s", fieldErrors[0].Field, fieldErrors[0].Text)
+		return fault.New(fault.NotRun, fault.Invalid, "%s", spec.Describe(fieldErrors))
 	}
 	start := time.Now()
 	err := f.submit(ctx, &wire.Command{Body: &wire.Command_Declare{Declare: &wire.DeclareManifest{Number: m.Number, Spec: m.Encode(), Source: source}}})
--- a/internal/control/spec/account.go
+++ b/internal/control/spec/account.go
@@ -44,11 +44,11 @@
 	for i, a := range accounts {
 		path := fmt.Sprintf("accounts[%d].", i)
 		switch {
+		case len(a.Name) > maxAccountName || strings.ContainsFunc(a.Name, notInWord):
+			// Instances are told the name as one word of a line.
+			add(path+"name", fmt.Sprintf("is not a word of at most %d bytes", maxAccountName))
 		case a.Name == "" || names[a.Name]:
 			add(path+"name", fmt.Sprintf("%q is empty or a duplicate", a.Name))
-		case strings.ContainsFunc(a.Name, func(r rune) bool { return unicode.IsSpace(r) || unicode.IsControl(r) || r == unicode.ReplacementChar }):
-			// Instances are told the name as one word of a line.
-			add(path+"name", fmt.Sprintf("%q is not a word", a.Name))
 		}
 		names[a.Name] = true
 		for j, key := range a.Keys {
@@ -75,5 +75,13 @@
 	return fieldErrors
 }
 
+// maxAccountName is the maximum length of an account's name in bytes.
+const maxAccountName = 255
+
+// notInWord reports whether a character cannot be part of an account's name.
+func notInWord(r rune) bool {
+	return unicode.IsSpace(r) || unicode.IsControl(r) || r == unicode.ReplacementChar
+}
+
 // validLimit reports whether a number can be a rate or a burst.
 func validLimit(n float64) bool { return n >= 0 && !math.IsInf(n, 1) }
--- a/internal/control/spec/account_test.go
+++ b/internal/control/spec/account_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -34,14 +35,24 @@
 		So(validate(
 			spec.Account{Name: "a", Keys: digests("secret-1", "")}, spec.Account{Name: "a", Keys: digests("secret-2", "secret-1")}, spec.Account{},
 			spec.Account{Name: "d", Rate: -1, Burst: math.NaN()}, spec.Account{Name: "e", Rate: 5, Burst: 0.9}, spec.Account{Name: "f", Rate: math.Inf(1), Burst: 5},
-			spec.Account{Name: "g i-1\r\nQUERY"}, spec.Account{Name: "h\x00"},
+			spec.Account{Name: "g i-1\r\nQUERY"}, spec.Account{Name: "h\x00"}, spec.Account{Name: strings.Repeat("n", 256)},
 		), ShouldResemble, []string{
 			"accounts[0].keys[1]", "accounts[1].name", "accounts[1].keys[1]", "accounts[2].name", "accounts[3].rate", "accounts[3].burst",
-			"accounts[4].burst", "accounts[5].rate", "accounts[6].name", "accounts[7].name",
+			"accounts[4].burst", "accounts[5].rate", "accounts[6].name", "accounts[7].name", "accounts[8].name",
 		})
 	})
 }
 
+func TestDescription(t *testing.T) {
+	Convey("The errors of a manifest are described together, thousands of them in a bounded text", t, func() {
+		list := (spec.Manifest{Accounts: []spec.Account{{}, {Name: "a", Rate: -1}}}).Validate()
+		So(spec.Describe(list), ShouldEqual, `accounts[0].name: "" is empty or a duplicate; accounts[1].rate: must be a finite number that is not negative`)
+		text := spec.Describe((spec.Manifest{Accounts: make([]spec.Account, 10_000)}).Validate())
+		So(text, ShouldEndWith, "; and 9900 more")
+		So(len(text), ShouldBeLessThan, 10_000)
+	})
+}
+
 // TestManyAccounts declares many more accounts than the platform's workload has.
 func TestManyAccounts(t *testing.T) {
 	Convey("Ten thousand accounts with two keys each are checked and encoded well within the time of a call", t, func() {
--- a/internal/control/spec/spec.go
+++ b/internal/control/spec/spec.go
@@ -127,6 +127,26 @@
 	Text string `json:"text"`
 }
 
+// maxDescribed is the number of errors that Describe lists.
+const maxDescribed = 100
+
+// Describe returns the errors as one text. Of more than a hundred it lists only the first ones and says how many
+// there are.
+func Describe(list []FieldError) string {
+	var b strings.Builder
+	for i, f := range list {
+		if i == maxDescribed {
+			fmt.Fprintf(&b, "; and %d more", len(list)-i)
+			break
+		}
+		if i > 0 {
+			b.WriteString("; ")
+		}
+		b.WriteString(f.Field + ": " + f.Text)
+	}
+	return b.String()
+}
+
 // Valid reports whether k is one of Kinds.
 func (k Kind) Valid() bool {
 	for _, known := range Kinds {
