--- a/internal/traffic/topo/topology.go
+++ b/internal/traffic/topo/topology.go
@@ -82,6 +82,10 @@
 	manifest         spec.Manifest
 	databases        map[string]spec.Database
 	accounts         map[spec.KeyDigest]string
+	// accountMetrics are the gauges of connections by account, last set at accountsReportedAt. Only Run uses
+	// them.
+	accountMetrics     map[string]int
+	accountsReportedAt time.Time
 	// chosenLenders are the lenders of lentInstances, chosen from lenderCandidates.
 	chosenLenders    map[string][]place.Lender
 	lentInstances    []place.Instance
@@ -98,8 +102,8 @@
 	Groups         map[string]*Group
 	// TxIdleLimit is how long a transaction may be idle; zero means no limit.
 	TxIdleLimit time.Duration
-	// Accounts has the names of the client accounts by the digests of their keys. It is nil if the manifest
-	// declares no accounts, so that callers need no key.
+	// Accounts has the names of the client accounts by the digests of their keys. It is nil if
+	// callers need no key.
 	Accounts map[spec.KeyDigest]string
 }
 
@@ -150,6 +154,8 @@
 	// instance accepts.
 	center          string
 	connectionLimit int
+	// share is the number of those connections that this host may keep.
+	share int
 
 	topology *Topology
 	state    *memberState
@@ -252,6 +258,7 @@
 			m.Maintain(now)
 		}
 	}
+	t.reportAccounts(now)
 	if t.primaryHealthChanged(now) {
 		t.Agent.RenewNow()
 	}
@@ -270,6 +277,11 @@
 		next.Groups[declared.Name] = t.buildGroup(v, declared, hosts, seen)
 	}
 	t.assignLenders(next, hosts)
+	for _, g := range next.Groups {
+		for _, m := range g.Members {
+			m.SetConnLimits(m.connectionLimit, m.share)
+		}
+	}
 	for name, m := range t.members {
 		if !seen[name] {
 			m.Shutdown()
@@ -303,7 +315,7 @@
 		}
 	}
 	t.accounts = nil
-	if len(m.Accounts) > 0 {
+	if m.NeedsKeys() {
 		t.accounts = map[spec.KeyDigest]string{}
 	}
 	for _, a := range m.Accounts {
@@ -334,7 +346,7 @@
 			since, _ := v.LeavingSince(r.Name, r.Backend.Born)
 			m.SetLeaveDeadline(t.LeaveBound.Deadline(since))
 		}
-		m.SetConnLimits(declared.MaxConnections, t.directShare(declared.MaxConnections, hosts))
+		m.share = t.directShare(declared.MaxConnections, hosts)
 		m.center, m.connectionLimit = r.Backend.Center, declared.MaxConnections
 		seen[r.Name] = true
 		g.Members = append(g.Members, m)
