leader, agent, topo, node: Enforce the limits of client accounts at the host that sends

Cause: nothing kept the sum of an account's operations over all hosts within its rate and burst. Change: lease renewals carry reports of shares and their answers change them; a host's own pool counts one operation for each statement or transaction before it queues and gives back what did not run. An account that has used up its limit gets BUSY without further tries; a host without a share left sends the borrower on. Bounds come from the platform's settings.

--- a/internal/control/agent/agent.go
+++ b/internal/control/agent/agent.go
@@ -20,6 +20,7 @@
 	"github.com/agatespindle/agatespindle/internal/base/wire"
 	"github.com/agatespindle/agatespindle/internal/control/leader"
 	"github.com/agatespindle/agatespindle/internal/control/lease"
+	"github.com/agatespindle/agatespindle/internal/control/share"
 	"github.com/agatespindle/agatespindle/internal/control/spec"
 )
 
@@ -70,6 +71,8 @@
 	// reports that a renewal carries to the leader.
 	PrimaryHealth func(now time.Time) []*wire.PrimaryHealth
 	Released      func(now time.Time) []*wire.ReleaseReport
+	// Shares, where set, holds this host's shares of the limits of client accounts.
+	Shares *share.Holder
 	// OnView, where set, is called with each new view before the leader learns that this host has
 	// it. It must not call the agent, whose mutex is held.
 	OnView func(v *View)
@@ -110,6 +113,9 @@
 
 // Prepare initializes the agent so that its methods can be called. It must be called before Run.
 func (a *Agent) Prepare() {
+	if a.Shares != nil {
+		a.Shares.OnShort = a.RenewNow
+	}
 	a.view = NewView(0, nil)
 	a.changed = make(chan struct{})
 	a.renewNow = make(chan struct{}, 1)
@@ -313,6 +319,9 @@
 	r.Run = a.currentRegistration()
 	r.Applied = a.view.Revision
 	r.Seq = a.hostLease.StartRenewal(now)
+	if a.Shares != nil {
+		r.Shares = a.Shares.Report(now, r.Seq)
+	}
 	return r
 }
 
@@ -356,6 +365,9 @@
 		a.failures = 0
 		a.hostLease.RecordGrant(g.Seq, g.Term, time.Duration(g.Lease))
 	}
+	if a.Shares != nil && g.Shares != nil && a.Shares.Apply(a.Now(), g.Seq, g.Shares) {
+		a.RenewNow()
+	}
 	return nil
 }
 
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -16,6 +16,7 @@
 	"github.com/agatespindle/agatespindle/internal/control/group"
 	"github.com/agatespindle/agatespindle/internal/control/lease"
 	"github.com/agatespindle/agatespindle/internal/control/roster"
+	"github.com/agatespindle/agatespindle/internal/control/share"
 	"github.com/agatespindle/agatespindle/internal/control/spec"
 	"github.com/agatespindle/agatespindle/internal/control/state"
 )
@@ -56,6 +57,8 @@
 	QuorumOptions roster.Options
 	// Host is the name of this control host.
 	Host string
+	// Tolerance is by how much the operations of a client account may exceed its limit.
+	Tolerance share.Tolerance
 	// Platform, where set, promotes instances in deployments that declare their groups in a
 	// manifest. Where it is nil, the leader fences and promotes backend servers itself.
 	Platform *Platform
@@ -72,8 +75,12 @@
 	statuses map[string]map[string]group.InstanceStatus
 	// promotions are the latest promotion requests, by group.
 	promotions map[string]promotionRequest
-	// manifest is the manifest from which copiesByGroup was read.
+	// shares divides the limits of client accounts among the hosts.
+	shares *share.Allocator
+	// manifest is the manifest from which copiesByGroup and accounts were read.
 	manifest *wire.Resource
+	// accounts are the declared client accounts.
+	accounts []spec.Account
 	// copiesByGroup is the number of replicas that must have received a write before it is
 	// acknowledged.
 	copiesByGroup map[string]int
@@ -139,6 +146,7 @@
 	l.running = map[string]bool{}
 	l.joining = map[string]*wire.Member{}
 	l.roster = &roster.Planner{Options: l.QuorumOptions}
+	l.resetShares(term, elected)
 }
 
 // Run reconciles until ctx ends. Once all background tasks have ended it sends nil on the returned
@@ -203,6 +211,7 @@
 		if l.Platform == nil {
 			l.assignHolders(ctx, now, s)
 		}
+		l.updateShares(s)
 		l.removeExpiredHosts(ctx, now, s)
 	})
 	l.updateMembership(ctx, now, st)
--- a/internal/control/leader/leader__lease.go
+++ b/internal/control/leader/leader__lease.go
@@ -108,7 +108,8 @@
 func (l *Leader) renew(ctx context.Context, ls *leaseStream, r *wire.LeaseRenewal) error {
 	l.awaitLeader(ctx)
 	g := &wire.LeaseGrant{Seq: r.Seq, Lease: uint64(l.LeaseDuration)}
-	reason := l.decideLease(ctx, l.Now(), ls.host, r)
+	reason, shares := l.decideLease(ctx, l.Now(), ls.host, r)
+	g.Shares = shares
 	if reason == fault.NoLeader {
 		g.Leader = l.Driver.Status().LeaderAddr
 	}
@@ -152,16 +153,17 @@
 	return !st.LeaderKnown && slices.ContainsFunc(st.Members.GetMembers(), func(m *wire.Member) bool { return m.Id == id && !m.Learner })
 }
 
-// decideLease grants a lease and returns "", or returns the reason for refusing it.
-func (l *Leader) decideLease(ctx context.Context, now time.Time, host string, r *wire.LeaseRenewal) fault.Reason {
+// decideLease grants a lease and returns "" and the answer to the host's report of its shares, or returns
+// the reason for refusing it.
+func (l *Leader) decideLease(ctx context.Context, now time.Time, host string, r *wire.LeaseRenewal) (fault.Reason, *wire.ShareGrant) {
 	st := l.Driver.Status()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.checkLeading(st) || r.Term > st.Term {
-		return fault.NoLeader
+		return fault.NoLeader, nil
 	}
 	if reason := l.ensureJoined(ctx, now, host, r.Run); reason != "" {
-		return reason
+		return reason, nil
 	}
 	l.recordReports(host, r)
 	reason := l.grantor.Renew(now, st.LeaseUntil, host, r.Applied)
@@ -170,7 +172,10 @@
 	} else {
 		l.Driver.View(func(s *state.State) { l.advanceInForce(now, s) })
 	}
-	return reason
+	if reason != "" {
+		return reason, nil
+	}
+	return "", l.shares.Renew(now, shareHost(host, r.Run), r.Seq, r.Shares)
 }
 
 // ensureJoined proposes a join unless the log has the host's current registration. A new process
--- a/internal/control/leader/leader__platform.go
+++ b/internal/control/leader/leader__platform.go
@@ -115,22 +115,28 @@
 // declaredCopies returns the number of copies that the manifest declares, by group, zeros left
 // out. The caller holds mu.
 func (l *Leader) declaredCopies(s *state.State) map[string]int {
+	l.loadManifest(s)
+	return l.copiesByGroup
+}
+
+// loadManifest reads the manifest if it has changed. The caller holds mu.
+func (l *Leader) loadManifest(s *state.State) {
 	r := s.Get(spec.Manifests, spec.CurrentManifest)
 	if r == nil || r == l.manifest {
-		return l.copiesByGroup
+		return
 	}
 	m, err := spec.DecodeManifest(r.Spec)
 	if err != nil {
-		l.Log.WithError(err).WithField("number", r.Version).Error("cannot decode manifest; keeping the numbers of copies of the previous one")
-		return l.copiesByGroup
+		l.Log.WithError(err).WithField("number", r.Version).Error("cannot decode manifest; keeping the numbers of copies and the accounts of the previous one")
+		return
 	}
-	l.manifest, l.copiesByGroup = r, map[string]int{}
+	l.manifest, l.copiesByGroup, l.accounts = r, map[string]int{}, m.Accounts
 	for _, g := range m.Groups {
 		if g.SyncReplicas > 0 {
 			l.copiesByGroup[g.Name] = g.SyncReplicas
 		}
 	}
-	return l.copiesByGroup
+	l.shares.SetAccounts(l.accounts)
 }
 
 // inForceOnEntryHosts reports whether each entry host has confirmed a revision or has no lease. The
--- /dev/null
+++ b/internal/control/leader/leader__shares.go
@@ -0,0 +1,80 @@
+package leader
+
+import (
+	"slices"
+	"time"
+
+	"github.com/agatespindle/agatespindle/internal/base/conf"
+	"github.com/agatespindle/agatespindle/internal/base/wire"
+	"github.com/agatespindle/agatespindle/internal/control/share"
+	"github.com/agatespindle/agatespindle/internal/control/spec"
+	"github.com/agatespindle/agatespindle/internal/control/state"
+)
+
+// maxStandingHosts is the largest number of entry hosts that hold shares of the accounts' limits without
+// demand, where no control host sends statements.
+const maxStandingHosts = 16
+
+// shareHost returns the identity of a host's process.
+func shareHost(host string, run *wire.HostState) share.Host {
+	return share.Host{Name: host, Instance: run.GetInstance(), Link: run.GetLink()}
+}
+
+// resetShares starts the division of the accounts' limits anew in a new term. The caller holds mu.
+func (l *Leader) resetShares(term uint64, elected time.Time) {
+	l.shares = &share.Allocator{Tolerance: l.Tolerance, LeaderTerm: term, ElectedAt: elected, RegisteredFor: l.LeaseDuration, Unreported: map[string]share.Host{}}
+	l.shares.OnChange = l.logShare
+	if term == 0 {
+		return
+	}
+	l.Driver.View(func(s *state.State) {
+		l.shares.FirstManifest = s.Get(spec.Manifests, spec.CurrentManifest) == nil
+		for _, r := range s.List(spec.Hosts) {
+			if r.Host != nil {
+				l.shares.Unreported[r.Name] = shareHost(r.Name, r.Host)
+			}
+		}
+		l.loadManifest(s)
+		l.shares.SetAccounts(l.accounts)
+		l.updateShares(s)
+	})
+}
+
+// updateShares passes the declared accounts, and the hosts that send most statements, on to the allocator.
+// The caller holds mu.
+func (l *Leader) updateShares(s *state.State) {
+	l.loadManifest(s)
+	if len(l.accounts) == 0 {
+		return
+	}
+	var control, entry []string
+	for _, r := range s.List(spec.Hosts) {
+		switch {
+		case r.Host == nil || r.Host.Draining || spec.Leaving(r.Spec):
+		case slices.Contains(r.Host.Roles, string(conf.RoleEntry)):
+			entry = append(entry, r.Name)
+		default:
+			control = append(control, r.Name)
+		}
+	}
+	if len(control) == 0 && len(entry) <= maxStandingHosts {
+		control = entry
+	}
+	l.shares.SetStanding(control)
+	l.Meter.SetGauge("limits.accounts", int64(len(l.accounts)))
+	l.Meter.SetGauge("limits.exhausted", int64(l.shares.Exhausted()))
+}
+
+// minLoggedShare is the least change of a share that is logged.
+const minLoggedShare = share.Whole / 8
+
+// logShare logs a change of a host's share of the limit of an account.
+func (l *Leader) logShare(account, host string, from, to uint32) {
+	l.Meter.AddCounter("limits.changes", 1)
+	if max(from, to)-min(from, to) < minLoggedShare {
+		return
+	}
+	l.Log.WithField("account", account).WithField("to", host).WithField("from_share", percent(from)).WithField("share", percent(to)).Debug("share of an account's limit changed")
+}
+
+func percent(n uint32) int { return int(uint64(n) * 100 / uint64(share.Whole)) }
--- a/internal/control/share/alloc.go
+++ b/internal/control/share/alloc.go
@@ -217,7 +217,7 @@
 	}
 	h.seq = seq
 	if r.Term < a.LeaderTerm || r.Version != 0 && !h.registered {
-		return &wire.ShareGrant{Report: true}
+		return &wire.ShareGrant{Term: a.LeaderTerm, Report: true}
 	}
 	if h.registered && !h.alive(now) {
 		a.replanFor(h)
@@ -232,7 +232,7 @@
 	a.planDirty(now)
 	a.issue(h, r.Version == 0)
 	g := h.grant()
-	g.Limited = a.exhaustedAccounts(h)
+	g.Term, g.Limited = a.LeaderTerm, a.exhaustedAccounts(h)
 	return g
 }
 
@@ -430,6 +430,9 @@
 	a.exhausted[name] = true
 }
 
+// Exhausted returns the number of accounts that have used up their limits.
+func (a *Allocator) Exhausted() int { return len(a.exhausted) }
+
 // exhaustedAccounts returns the accounts with a share at a host that have used up their limits.
 func (a *Allocator) exhaustedAccounts(h *holding) []string {
 	var list []string
--- a/internal/control/share/holder.go
+++ b/internal/control/share/holder.go
@@ -290,20 +290,19 @@
 	return a.demand > 0.9*a.bucket.rate && a.bucket.tokens < a.bucket.capacity/2 && a.demand > 0.5/demandPeriod.Seconds()
 }
 
-// Apply applies the answer of the leader of a term to the report with the sequence number seq. It
-// reports whether a share has changed; the next report then confirms this and should follow at once.
-func (h *Holder) Apply(now time.Time, term, seq uint64, g *wire.ShareGrant) bool {
+// Apply applies the leader's answer to the report with the sequence number seq. It reports whether a share has changed; the next report then confirms this and should follow at once.
+func (h *Holder) Apply(now time.Time, seq uint64, g *wire.ShareGrant) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.expire(now)
 	report, known := h.sent[seq]
-	if !known || term < h.leaderTerm {
+	if !known || g.Term < h.leaderTerm {
 		return false
 	}
-	if term > h.leaderTerm {
+	if g.Term > h.leaderTerm {
 		// The new leader learns what this host holds from the next report. The shares last as long as
 		// the former leader confirmed them.
-		h.leaderTerm, h.version = term, 0
+		h.leaderTerm, h.version = g.Term, 0
 		h.epoch++
 		return true
 	}
--- a/internal/control/share/plan.go
+++ b/internal/control/share/plan.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -120,29 +121,31 @@
 	return l.reported
 }
 
-// divide sets the targets of the holders of an account with a rate and a capacity.
+// divide sets the targets of the holders of an account with a rate and a capacity. Holders that would have
+// no room for whole operations get nothing: those with the least demand.
 func divide(list []candidate, available uint32, rate, capacity float64) {
-	if len(list) == 0 {
-		return
-	}
-	demand, sharing := 0.0, 0
-	for _, c := range list {
-		demand += c.demand
-		if c.standing || c.demand > 0 {
-			sharing++
+	sharing := make([]*candidate, 0, len(list))
+	for i := range list {
+		if c := &list[i]; c.standing || c.demand > 0 {
+			sharing = append(sharing, c)
 		}
 	}
-	if sharing == 0 {
+	slices.SortStableFunc(sharing, func(a, b *candidate) int { return cmp.Compare(b.demand, a.demand) })
+	sharing = sharing[:min(len(sharing), max(1, int(capacity/minTokens)))]
+	if len(sharing) == 0 {
 		return
 	}
-	equal := max(rate*fraction(available)-demand, minSpare*rate) / float64(sharing)
-	total := demand + equal*float64(sharing)
-	floor := min(minTokens/capacity, maxEqualPart*fraction(available)/float64(sharing)) * float64(Whole)
-	rest := float64(available) - floor*float64(sharing)
-	for i := range list {
-		if c := &list[i]; c.standing || c.demand > 0 {
-			c.target = uint32(max(0, floor+rest*(c.demand+equal)/total-1))
-		}
+	n := float64(len(sharing))
+	demand := 0.0
+	for _, c := range sharing {
+		demand += c.demand
+	}
+	equal := max(rate*fraction(available)-demand, minSpare*rate) / n
+	total := demand + equal*n
+	floor := min(minTokens/capacity, maxEqualPart*fraction(available)/n) * float64(Whole)
+	rest := float64(available) - floor*n
+	for _, c := range sharing {
+		c.target = uint32(max(0, floor+rest*(c.demand+equal)/total-1))
 	}
 }
 
--- a/internal/control/share/world_test.go
+++ b/internal/control/share/world_test.go
@@ -184,9 +184,8 @@
 	}
 	w.granted[h.Name] = w.now
 	g := w.leader.Renew(w.now, h.Host, seq, r)
-	term := w.leader.LeaderTerm
 	if g != nil && w.assumeConfirmed {
-		w.leader.Renew(w.now, h.Host, seq+1, &wire.ShareReport{Term: term, Version: g.Version})
+		w.leader.Renew(w.now, h.Host, seq+1, &wire.ShareReport{Term: g.Term, Version: g.Version})
 	}
 	if g != nil && w.editGrant != nil {
 		w.editGrant(h, g)
@@ -196,7 +195,7 @@
 		return
 	}
 	w.post(h, delay, func() {
-		if h.holder.Apply(h.now(), term, seq, g) {
+		if h.holder.Apply(h.now(), seq, g) {
 			h.renewAt = w.now
 		}
 	})
--- a/internal/tools/node/node.go
+++ b/internal/tools/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/agatespindle/agatespindle/internal/base/meter"
 	"github.com/agatespindle/agatespindle/internal/base/wire"
 	"github.com/agatespindle/agatespindle/internal/control/agent"
+	"github.com/agatespindle/agatespindle/internal/control/share"
 	"github.com/agatespindle/agatespindle/platform"
 )
 
@@ -139,6 +140,7 @@
 		Registration: &wire.HostState{Link: n.cfg.LinkAddr(), Center: n.cfg.Center, Instance: hex.EncodeToString(incarnation), Roles: n.roles()},
 	}
 	n.Agent.StreamTimeout = leaseStreamTimeout
+	n.Agent.Shares = &share.Holder{Tolerance: n.cfg.LimitTolerance()}
 	n.Agent.Prepare()
 	k := n.Kernel
 	k.Register(kernel.Service{Name: ServiceLink, Value: n.links, Start: n.startLink})
--- a/internal/tools/node/traffic.go
+++ b/internal/tools/node/traffic.go
@@ -49,7 +49,7 @@
 	borrower := &lend.Borrower{Dialer: n.dialer, Now: clock.Monotonic}
 	t.topology = &topo.Topology{
 		Host: n.cfg.Host, Center: n.cfg.Center, LendOnly: !n.cfg.ServesCallers(), Agent: n.Agent, NewPool: t.newPool, Borrow: borrower.Open,
-		LeaveBound: n.cfg.LeaveBound(), Log: n.Log, Meter: n.Meter, Now: clock.Monotonic,
+		LeaveBound: n.cfg.LeaveBound(), Shares: n.Agent.Shares, Log: n.Log, Meter: n.Meter, Now: clock.Monotonic,
 	}
 	t.topology.Prepare()
 	t.lender = &lend.Lender{Topology: t.topology, Log: n.Log, Meter: n.Meter, Now: clock.Monotonic, Withdrawn: n.withdrawn}
--- a/internal/traffic/lend/borrower.go
+++ b/internal/traffic/lend/borrower.go
@@ -221,6 +221,9 @@
 	if reply.Leaving {
 		a.Code = flow.Leaving
 	}
+	if reply.Limited {
+		a.Code = flow.Limited
+	}
 	b.returned = returnsConnection(last, a)
 	return a, flow.Answered, nil
 }
--- a/internal/traffic/lend/lend.go
+++ b/internal/traffic/lend/lend.go
@@ -270,6 +270,9 @@
 	if a.Code == flow.Leaving {
 		reply.Leaving, a.Code = true, flow.Overloaded
 	}
+	if a.Code == flow.Limited {
+		reply.Limited, a.Code = true, flow.Overloaded
+	}
 	reply.Rows, reply.Proof, reply.Code, reply.Text, reply.State = a.Rows, a.Proof, uint32(a.Code), a.Text, uint32(a.State)
 	reply.Mark = &wire.LogPosition{Term: a.Position.Term, Number: a.Position.Position}
 	if !returnsConnection(req.Last, a) {
--- a/internal/traffic/sess/execution.go
+++ b/internal/traffic/sess/execution.go
@@ -327,6 +327,11 @@
 		e.logRefusal(now, e.lastVerdict.Code)
 		return flow.ErrorAnswer(e.lastVerdict.Code, flow.Idle, answer.Text), true
 	}
+	if answer.Code == flow.Limited {
+		// Other instances would refuse it as well.
+		e.tries = maxTries
+		return flow.Answer{}, false
+	}
 	if answer.Code == flow.Busy && m.Instance == e.group.Primary {
 		clock.Sleep(ctx, busyRetryDelay)
 		if now.Sub(e.started) > e.db.TargetLatency {
--- a/internal/traffic/sess/transaction.go
+++ b/internal/traffic/sess/transaction.go
@@ -137,6 +137,9 @@
 		if answer.Code != flow.Behind {
 			e.exclude(m.Instance)
 		}
+		if answer.Code == flow.Limited {
+			e.tries = maxTries
+		}
 		e.recordFailure(m, flow.Answered, answer.Code.String(), flow.Reads)
 		e.lastVerdict = flow.VerdictFor(flow.Answered, flow.Reads, answer.Code)
 		return false
--- a/internal/traffic/topo/borrow.go
+++ b/internal/traffic/topo/borrow.go
@@ -48,7 +48,7 @@
 		a, stage, err := b.handle.Run(timeout-sentAt.Sub(start), values, req, last)
 		if err == nil || stage != flow.Unsent || b.sent {
 			b.sent = true
-			if err == nil {
+			if err == nil && a.Code != flow.Limited {
 				b.member.RecordLatency(b.member.topology.Now().Sub(sentAt))
 			}
 			return a, stage, err
--- a/internal/traffic/topo/lenders.go
+++ b/internal/traffic/topo/lenders.go
@@ -152,12 +152,6 @@
 	return g.Member(instance)
 }
 
-// OpenOwn acquires a connection from this host's own pool, waiting at most waitLimit for a free one; a
-// lower rank is served first.
-func (m *Member) OpenOwn(ctx context.Context, waitLimit time.Duration, prio pool.Priority) (pool.Handle, error) {
-	return m.NewHandle(ctx, waitLimit, prio)
-}
-
 // Open acquires a connection to the instance from this host's own pool or from another host. It waits
 // at most waitLimit for a free one, which for a borrowed connection happens in the first request. A
 // lower rank is served first.
--- /dev/null
+++ b/internal/traffic/topo/limited.go
@@ -0,0 +1,55 @@
+package topo
+
+import (
+	"context"
+	"time"
+
+	"github.com/agatespindle/agatespindle/internal/base/fault"
+	"github.com/agatespindle/agatespindle/internal/control/share"
+	"github.com/agatespindle/agatespindle/internal/traffic/flow"
+	"github.com/agatespindle/agatespindle/internal/traffic/pool"
+)
+
+// limitedHandle counts its use, a statement or a transaction, as one operation of a client account. Its
+// first request is refused, before it waits for anything, if the account may start no operation at this host.
+type limitedHandle struct {
+	pool.Handle
+	member  *Member
+	account string
+	// admitted is set once a request has run.
+	admitted bool
+}
+
+var _ pool.Handle = (*limitedHandle)(nil)
+
+// OpenOwn acquires a connection from this host's own pool, waiting at most waitLimit for a free one; a
+// lower rank is served first.
+func (m *Member) OpenOwn(ctx context.Context, waitLimit time.Duration, prio pool.Priority) (pool.Handle, error) {
+	h, err := m.NewHandle(ctx, waitLimit, prio)
+	if err != nil || prio.Account == "" || m.topology.Shares == nil {
+		return h, err
+	}
+	return &limitedHandle{Handle: h, member: m, account: prio.Account}, nil
+}
+
+// Run implements pool.Handle. A request of an account that has used up its limit has an answer with code
+// flow.Limited.
+func (h *limitedHandle) Run(timeout time.Duration, values flow.Values, req flow.Request, last bool) (flow.Answer, flow.Stage, error) {
+	if h.admitted {
+		return h.Handle.Run(timeout, values, req, last)
+	}
+	t := h.member.topology
+	claim, result := t.Shares.Take(t.Now(), h.account)
+	switch result {
+	case share.Limited:
+		t.Meter.AddCounter("limits.refused.limited", 1)
+		return flow.Answer{Code: flow.Limited, Text: h.member.Instance, State: flow.Idle}, flow.Answered, nil
+	case share.NoShare:
+		t.Meter.AddCounter("limits.refused.noshare", 1)
+		return flow.Answer{}, flow.Unsent, fault.New(fault.NotRun, fault.CallerLimit, "this host has no share of the account's limit left")
+	}
+	a, stage, err := h.Handle.Run(timeout, values, req, last)
+	h.admitted = err != nil && stage != flow.Unsent || err == nil && !a.Code.NotRun()
+	claim.Settle(t.Now(), h.admitted)
+	return a, stage, err
+}
--- a/internal/traffic/topo/topology.go
+++ b/internal/traffic/topo/topology.go
@@ -16,6 +16,7 @@
 	"github.com/agatespindle/agatespindle/internal/base/wire"
 	"github.com/agatespindle/agatespindle/internal/control/agent"
 	"github.com/agatespindle/agatespindle/internal/control/place"
+	"github.com/agatespindle/agatespindle/internal/control/share"
 	"github.com/agatespindle/agatespindle/internal/control/spec"
 	"github.com/agatespindle/agatespindle/internal/traffic/pool"
 	"github.com/agatespindle/agatespindle/internal/traffic/route"
@@ -65,6 +66,8 @@
 	// Borrow, if set, borrows a connection to an instance from the host at addr, waiting at most
 	// waitLimit for a free one; a lower rank is served first.
 	Borrow func(addr, group, instance string, prio pool.Priority, waitLimit time.Duration) (pool.Handle, error)
+	// Shares, if set, holds this host's shares of the limits of client accounts.
+	Shares *share.Holder
 	// LeaveBound is how long after its announcement a leaving instance may get new requests.
 	LeaveBound spec.LeaveBound
 	// Now returns the current time; tests replace it.
@@ -302,6 +305,9 @@
 			t.databases[db.Name] = db
 		}
 	}
+	if t.Shares != nil {
+		t.Shares.SetAccounts(t.Now(), m.Accounts)
+	}
 	t.accounts = nil
 	if len(m.Accounts) > 0 {
 		t.accounts = map[spec.KeyDigest]string{}
