--- a/internal/control/share/holder.go
+++ b/internal/control/share/holder.go
@@ -38,6 +38,9 @@
 	// OnShort, if set, is called when a share no longer suffices, at most every urgentInterval. A report
 	// should follow at once. It must not call the holder.
 	OnShort func()
+	// OnRefused, if set, is called with a summary of the refusals of an account, at most every
+	// refusalInterval for each account. It must not call the holder.
+	OnRefused func(Refusals)
 
 	mu       sync.Mutex
 	accounts map[string]*account
@@ -55,8 +58,6 @@
 	urgedAt time.Time
 	// exhausted are the accounts that have used up their limits on all hosts.
 	exhausted map[string]bool
-	// limited and unheld count the operations that were refused.
-	limited, unheld int64
 }
 
 // sentReport is a report whose answer is pending.
@@ -87,7 +88,20 @@
 	reportedAt    time.Time
 	// returned are the tokens given up with parts of the share since the last report.
 	returned float64
-	limited  int64
+	// refusals counts the refusals since they were last summarized, at summarizedAt.
+	refusals     Refusals
+	summarizedAt time.Time
+}
+
+// Refusals is a summary of the refusals of an account at a host.
+type Refusals struct {
+	Account string
+	// Limited and NoShare count the refusals with these results since the last summary.
+	Limited, NoShare int64
+	// Rate and Demand are what the host's share allows and what it is asked for, in operations per second.
+	Rate, Demand float64
+	// Share is the host's share, in parts of Whole.
+	Share uint32
 }
 
 // Claim is an admitted operation.
@@ -146,7 +160,6 @@
 	h.expire(now)
 	a := h.accounts[name]
 	if a == nil || !a.declared {
-		h.unheld++
 		return Claim{}, NoShare
 	}
 	if a.limit.Rate == 0 {
@@ -161,13 +174,27 @@
 		return Claim{h, a, a.expiries}, Admitted
 	}
 	a.refused = true
-	if !h.exhausted[name] {
-		h.unheld++
-		return Claim{}, NoShare
+	result := NoShare
+	if h.exhausted[name] {
+		result = Limited
+	}
+	h.countRefusal(now, name, a, result)
+	return Claim{}, result
+}
+
+// countRefusal counts a refusal, and passes on a summary if one is due. The caller holds mu.
+func (h *Holder) countRefusal(now time.Time, name string, a *account, result Result) {
+	if result == Limited {
+		a.refusals.Limited++
+	} else {
+		a.refusals.NoShare++
+	}
+	if h.OnRefused == nil || now.Sub(a.summarizedAt) < refusalInterval {
+		return
 	}
-	a.limited++
-	h.limited++
-	return Claim{}, Limited
+	a.refusals.Account, a.refusals.Rate, a.refusals.Demand, a.refusals.Share = name, a.bucket.rate, a.demand, a.share
+	h.OnRefused(a.refusals)
+	a.refusals, a.summarizedAt = Refusals{}, now
 }
 
 // count adds an operation to the demand.
--- a/internal/control/share/share.go
+++ b/internal/control/share/share.go
@@ -35,6 +35,8 @@
 	minReportPeriod = 50 * time.Millisecond
 	// urgentInterval is the least time between two reports that were not due.
 	urgentInterval = 100 * time.Millisecond
+	// refusalInterval is the least time between two summaries of an account's refusals.
+	refusalInterval = 5 * time.Second
 	// minDemand is the demand below which an account counts as idle, in operations per second.
 	minDemand = 0.02
 	// refreshInterval is the longest time between two reports on an account that is not idle, and
--- a/internal/tools/node/node.go
+++ b/internal/tools/node/node.go
@@ -8,6 +8,7 @@
 	"encoding/hex"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -140,7 +141,7 @@
 		Registration: &wire.HostState{Link: n.cfg.LinkAddr(), Center: n.cfg.Center, Instance: hex.EncodeToString(incarnation), Roles: n.roles()},
 	}
 	n.Agent.StreamTimeout = leaseStreamTimeout
-	n.Agent.Shares = &share.Holder{Tolerance: n.cfg.LimitTolerance()}
+	n.Agent.Shares = &share.Holder{Tolerance: n.cfg.LimitTolerance(), OnRefused: n.logRefusals}
 	n.Agent.Prepare()
 	k := n.Kernel
 	k.Register(kernel.Service{Name: ServiceLink, Value: n.links, Start: n.startLink})
@@ -163,6 +164,12 @@
 	return nil
 }
 
+// logRefusals logs that operations of a client account were refused because of its limit.
+func (n *Node) logRefusals(r share.Refusals) {
+	n.Log.WithField("account", r.Account).WithField("limited", r.Limited).WithField("noshare", r.NoShare).WithField("rate", math.Round(r.Rate*100)/100).
+		WithField("demand", math.Round(r.Demand*100)/100).WithField("share", math.Round(float64(r.Share)/float64(share.Whole)*1000)/1000).Info("account over its limit")
+}
+
 // peers returns the control hosts that the settings list as seeds.
 func peers(cfg platform.Settings) []conf.Peer {
 	var list []conf.Peer
