--- a/internal/control/share/alloc.go
+++ b/internal/control/share/alloc.go
@@ -420,14 +420,16 @@
 
 // noteExhausted records whether an account has used up its limit.
 func (a *Allocator) noteExhausted(name string, l *limit) {
-	if l.declared.Rate == 0 || float64(l.tokensLeft) > exhaustedPart*a.Tolerance.Capacity(l.declared) {
+	left := float64(l.tokensLeft) / a.Tolerance.Capacity(l.declared)
+	switch {
+	case l.declared.Rate == 0 || left >= recoveredPart:
 		delete(a.exhausted, name)
-		return
-	}
-	if a.exhausted == nil {
-		a.exhausted = map[string]bool{}
+	case left <= exhaustedPart:
+		if a.exhausted == nil {
+			a.exhausted = map[string]bool{}
+		}
+		a.exhausted[name] = true
 	}
-	a.exhausted[name] = true
 }
 
 // Exhausted returns the number of accounts that have used up their limits.
--- a/internal/control/share/holder.go
+++ b/internal/control/share/holder.go
@@ -96,8 +96,10 @@
 // Refusals is a summary of the refusals of an account at a host.
 type Refusals struct {
 	Account string
-	// Limited and NoShare count the refusals with these results since the last summary.
-	Limited, NoShare int64
+	// Limited and NoShare count the refusals with these results since the last summary, and Admitted the
+	// operations that were admitted in Elapsed, the time since then.
+	Limited, NoShare, Admitted int64
+	Elapsed                    time.Duration
 	// Rate and Demand are what the host's share allows and what it is asked for, in operations per second.
 	Rate, Demand float64
 	// Share is the host's share, in parts of Whole.
@@ -171,6 +173,7 @@
 		h.OnShort()
 	}
 	if a.bucket.take(now) {
+		a.refusals.Admitted++
 		return Claim{h, a, a.expiries}, Admitted
 	}
 	a.refused = true
@@ -193,6 +196,7 @@
 		return
 	}
 	a.refusals.Account, a.refusals.Rate, a.refusals.Demand, a.refusals.Share = name, a.bucket.rate, a.demand, a.share
+	a.refusals.Elapsed = now.Sub(a.summarizedAt)
 	h.OnRefused(a.refusals)
 	a.refusals, a.summarizedAt = Refusals{}, now
 }
--- a/internal/control/share/plan.go
+++ b/internal/control/share/plan.go
@@ -22,8 +22,9 @@
 	// minTokens is the capacity that each holder should have at least, in operations.
 	minTokens = 1.5
 	// exhaustedPart is the part of its capacity that an account has left at most when it has used up its
-	// limit.
+	// limit, and recoveredPart the part from which it has not any more.
 	exhaustedPart = 0.05
+	recoveredPart = 0.25
 	// maxEqualPart is the part of a limit that may be divided equally for that.
 	maxEqualPart = 0.5
 )
--- a/internal/tools/node/node.go
+++ b/internal/tools/node/node.go
@@ -166,7 +166,7 @@
 
 // logRefusals logs that operations of a client account were refused because of its limit.
 func (n *Node) logRefusals(r share.Refusals) {
-	n.Log.WithField("account", r.Account).WithField("limited", r.Limited).WithField("noshare", r.NoShare).WithField("rate", math.Round(r.Rate*100)/100).
+	n.Log.WithField("account", r.Account).WithField("limited", r.Limited).WithField("noshare", r.NoShare).WithField("admitted", r.Admitted).WithField("ms", r.Elapsed.Milliseconds()).WithField("rate", math.Round(r.Rate*100)/100).
 		WithField("demand", math.Round(r.Demand*100)/100).WithField("share", math.Round(float64(r.Share)/float64(share.Whole)*1000)/1000).Info("account over its limit")
 }
 
--- a/internal/traffic/lend/borrower.go
+++ b/internal/traffic/lend/borrower.go
@@ -13,6 +13,7 @@
 	"github.com/agatespindle/agatespindle/internal/traffic/flow"
 	"github.com/agatespindle/agatespindle/internal/traffic/pool"
 	"github.com/agatespindle/agatespindle/internal/traffic/token"
+	"github.com/agatespindle/agatespindle/internal/traffic/topo"
 )
 
 // Borrower borrows connections from other hosts. The exported fields are set before the first call
@@ -212,6 +213,9 @@
 	}
 	if reply.Error != "" {
 		b.returned = true
+		if reply.Limited {
+			return flow.Answer{}, flow.Unsent, topo.ErrNoShare
+		}
 		return flow.Answer{}, flow.Stage(reply.Stage), fmt.Errorf("lender %s: %s", b.addr, reply.Error)
 	}
 	a := flow.Answer{
--- a/internal/traffic/lend/lend.go
+++ b/internal/traffic/lend/lend.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -264,7 +265,7 @@
 	reply.Stage = uint32(stage)
 	if err != nil {
 		s.handle.Close()
-		reply.Error = err.Error()
+		reply.Error, reply.Limited = err.Error(), errors.Is(err, topo.ErrNoShare)
 		return true
 	}
 	if a.Code == flow.Leaving {
--- a/internal/traffic/topo/borrow.go
+++ b/internal/traffic/topo/borrow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/agatespindle/agatespindle/internal/base/fault"
@@ -24,6 +25,10 @@
 	handle pool.Handle
 	// triedOwn is set once this host has tried to use a connection of its own.
 	triedOwn bool
+	// dedicatedLeft is the number of control hosts among lenders.
+	dedicatedLeft int
+	// refused is set once a lender had no share of the account's limit left.
+	refused bool
 	// sent is set once a request may have been sent to the instance.
 	sent bool
 }
@@ -34,13 +39,17 @@
 // as load until it is released or closed.
 func (m *Member) borrow(lenders []string, waitLimit time.Duration, prio pool.Priority) *borrowedHandle {
 	m.AddLoad(1)
-	return &borrowedHandle{member: m, lenders: lenders, prio: prio, deadline: m.topology.Now().Add(waitLimit)}
+	return &borrowedHandle{member: m, lenders: lenders, dedicatedLeft: min(m.dedicatedCount, len(lenders)), prio: prio, deadline: m.topology.Now().Add(waitLimit)}
 }
 
 // Run implements pool.Handle.
 func (b *borrowedHandle) Run(timeout time.Duration, values flow.Values, req flow.Request, last bool) (flow.Answer, flow.Stage, error) {
 	start := b.member.topology.Now()
 	for {
+		if b.refused && b.dedicatedLeft == 0 {
+			// Control hosts send nearly all statements, so they hold nearly the whole limit.
+			return b.member.limited()
+		}
 		if err := b.acquire(); err != nil {
 			return flow.Answer{}, flow.Unsent, err
 		}
@@ -55,6 +64,7 @@
 		}
 		b.handle.Close()
 		b.handle = nil
+		b.refused = b.refused || errors.Is(err, ErrNoShare)
 		if b.member.topology.Now().After(b.deadline) {
 			return a, stage, err
 		}
@@ -67,6 +77,7 @@
 	for b.handle == nil && len(b.lenders) > 0 {
 		addr := b.lenders[0]
 		b.lenders = b.lenders[1:]
+		b.dedicatedLeft = max(0, b.dedicatedLeft-1)
 		waitLimit := max(0, b.deadline.Sub(b.member.topology.Now()))
 		h, err := b.member.topology.Borrow(addr, b.member.Group, b.member.Instance, b.prio, waitLimit)
 		if err == nil {
--- a/internal/traffic/topo/limited.go
+++ b/internal/traffic/topo/limited.go
@@ -10,6 +10,15 @@
 	"github.com/agatespindle/agatespindle/internal/traffic/pool"
 )
 
+// ErrNoShare is the error of a request that was not sent because this host has no share of the account's
+// limit left. Another host may have.
+var ErrNoShare error = fault.New(fault.NotRun, fault.CallerLimit, "no share of the account's limit is left")
+
+// limited returns the answer to a request of an account that has used up its limit.
+func (m *Member) limited() (flow.Answer, flow.Stage, error) {
+	return flow.Answer{Code: flow.Limited, Text: m.Instance, State: flow.Idle}, flow.Answered, nil
+}
+
 // limitedHandle counts its use, a statement or a transaction, as one operation of a client account. Its
 // first request is refused, before it waits for anything, if the account may start no operation at this host.
 type limitedHandle struct {
@@ -43,10 +52,10 @@
 	switch result {
 	case share.Limited:
 		t.Meter.AddCounter("limits.refused.limited", 1)
-		return flow.Answer{Code: flow.Limited, Text: h.member.Instance, State: flow.Idle}, flow.Answered, nil
+		return h.member.limited()
 	case share.NoShare:
 		t.Meter.AddCounter("limits.refused.noshare", 1)
-		return flow.Answer{}, flow.Unsent, fault.New(fault.NotRun, fault.CallerLimit, "this host has no share of the account's limit left")
+		return flow.Answer{}, flow.Unsent, ErrNoShare
 	}
 	a, stage, err := h.Handle.Run(timeout, values, req, last)
 	h.admitted = err != nil && stage != flow.Unsent || err == nil && !a.Code.NotRun()
