share, leader: Let a new leader divide limits as soon as all holders have reported

Change: a host stays registered for as long as it may hold a share, so a leader that has heard all registered holders knows all shares. The term of shares is 4.5 s now, as long as a registration lasts without renewals; a start at another address replaces a registration only after it. Only control hosts hold shares where they lend.

--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -59,6 +59,9 @@
 	Host string
 	// Tolerance is by how much the operations of a client account may exceed its limit.
 	Tolerance share.Tolerance
+	// ControlLends is set if control hosts lend connections and serve no callers. Only they then hold shares
+	// of the accounts' limits, as they send nearly all statements; otherwise entry hosts do.
+	ControlLends bool
 	// Platform, where set, promotes instances in deployments that declare their groups in a
 	// manifest. Where it is nil, the leader fences and promotes backend servers itself.
 	Platform *Platform
--- a/internal/control/leader/leader__lease.go
+++ b/internal/control/leader/leader__lease.go
@@ -188,7 +188,8 @@
 	if proto.Equal(current, registration) && current != nil {
 		return ""
 	}
-	if current != nil && current.Instance != registration.GetInstance() && current.Link != registration.GetLink() && !l.grantor.Expired(now, host) {
+	if current != nil && current.Instance != registration.GetInstance() && current.Link != registration.GetLink() &&
+		(!l.grantor.Expired(now, host) || l.mayHoldShares(now, host)) {
 		return fault.Conflict
 	}
 	l.propose(ctx, "join "+host, &wire.Command{Body: &wire.Command_Join{Join: &wire.JoinHost{Host: host, Run: registration}}})
--- a/internal/control/leader/leader__shares.go
+++ b/internal/control/leader/leader__shares.go
@@ -22,15 +22,14 @@
 
 // resetShares starts the division of the accounts' limits anew in a new term. The caller holds mu.
 func (l *Leader) resetShares(term uint64, elected time.Time) {
-	l.shares = &share.Allocator{Tolerance: l.Tolerance, LeaderTerm: term, ElectedAt: elected, RegisteredFor: l.LeaseDuration, Unreported: map[string]share.Host{}}
+	l.shares = &share.Allocator{Tolerance: l.Tolerance, LeaderTerm: term, ElectedAt: elected, Unreported: map[string]share.Host{}, StandingOnly: l.ControlLends}
 	l.shares.OnChange = l.logShare
 	if term == 0 {
 		return
 	}
 	l.Driver.View(func(s *state.State) {
-		l.shares.FirstManifest = s.Get(spec.Manifests, spec.CurrentManifest) == nil
 		for _, r := range s.List(spec.Hosts) {
-			if r.Host != nil {
+			if r.Host != nil && (!l.ControlLends || isLender(r.Host)) {
 				l.shares.Unreported[r.Name] = shareHost(r.Name, r.Host)
 			}
 		}
@@ -47,24 +46,28 @@
 	if len(l.accounts) == 0 {
 		return
 	}
-	var control, entry []string
+	var names []string
 	for _, r := range s.List(spec.Hosts) {
-		switch {
-		case r.Host == nil || r.Host.Draining || spec.Leaving(r.Spec):
-		case slices.Contains(r.Host.Roles, string(conf.RoleEntry)):
-			entry = append(entry, r.Name)
-		default:
-			control = append(control, r.Name)
+		if r.Host != nil && !r.Host.Draining && !spec.Leaving(r.Spec) && (isLender(r.Host) || !l.ControlLends) {
+			names = append(names, r.Name)
 		}
 	}
-	if len(control) == 0 && len(entry) <= maxStandingHosts {
-		control = entry
+	if !l.ControlLends && len(names) > maxStandingHosts {
+		names = nil
 	}
-	l.shares.SetStanding(control)
+	l.shares.SetStanding(names)
 	l.Meter.SetGauge("limits.accounts", int64(len(l.accounts)))
 	l.Meter.SetGauge("limits.exhausted", int64(l.shares.Exhausted()))
 }
 
+// isLender reports whether a host only lends connections.
+func isLender(h *wire.HostState) bool { return !slices.Contains(h.Roles, string(conf.RoleEntry)) }
+
+// mayHoldShares reports whether the registered process of a host may be using shares. The caller holds mu.
+func (l *Leader) mayHoldShares(now time.Time, host string) bool {
+	return len(l.accounts) > 0 && l.shares.MayHold(now, host)
+}
+
 // minLoggedShare is the least change of a share that is logged.
 const minLoggedShare = share.Whole / 8
 
--- a/internal/control/share/alloc.go
+++ b/internal/control/share/alloc.go
@@ -24,15 +24,11 @@
 	// LeaderTerm is the term of the leader, and ElectedAt the time of its election.
 	LeaderTerm uint64
 	ElectedAt  time.Time
-	// Unreported are the hosts that may hold shares of a former leader, by name. The allocator removes those
-	// that have reported.
+	// Unreported are the hosts that were registered at the election and may hold shares of a former leader,
+	// by name. The allocator removes those that have reported.
 	Unreported map[string]Host
-	// RegisteredFor is how long a host stays registered at least after its last renewal. One that holds
-	// shares and was not registered at the election has shares that expire at ElectedAt + Term -
-	// RegisteredFor.
-	RegisteredFor time.Duration
-	// FirstManifest is set if there was no manifest at the election, so that no host holds shares.
-	FirstManifest bool
+	// StandingOnly is set if only the standing hosts hold shares.
+	StandingOnly bool
 	// OnChange, if set, is called with each change of a share that is decided.
 	OnChange func(account, host string, from, to uint32)
 
@@ -265,10 +261,30 @@
 
 // sharesKnown reports whether no host holds a share of a former leader that it has not reported.
 func (a *Allocator) sharesKnown(now time.Time) bool {
-	if a.FirstManifest || !now.Before(a.ElectedAt.Add(Term)) {
+	return len(a.Unreported) == 0 || !now.Before(a.ElectedAt.Add(Term))
+}
+
+// MayHold reports whether a process of a host may hold shares. While it does, the host must stay registered.
+func (a *Allocator) MayHold(now time.Time, name string) bool {
+	if _, unreported := a.Unreported[name]; unreported && now.Before(a.ElectedAt.Add(Term)) {
 		return true
 	}
-	return len(a.Unreported) == 0 && !now.Before(a.ElectedAt.Add(Term-a.RegisteredFor))
+	for _, h := range a.holders[name] {
+		if now.Sub(h.heardAt) < Term && h.holdsAny() {
+			return true
+		}
+	}
+	return false
+}
+
+// holdsAny reports whether the host may be using a share.
+func (h *holding) holdsAny() bool {
+	for _, s := range h.shares {
+		if s.most() > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // holding returns the state of a host, which it creates if necessary. A new start of a host at the same
--- a/internal/control/share/plan.go
+++ b/internal/control/share/plan.go
@@ -69,7 +69,9 @@
 	h        *holding
 	demand   float64
 	standing bool
-	target   uint32
+	// barred is set for a host that must hold no share.
+	barred bool
+	target uint32
 }
 
 // plan decides the shares that the holders of an account should have: what they are asked for, and an
@@ -86,6 +88,8 @@
 		case !h.alive(now):
 			available -= min(available, s.most())
 		case a.standing[h.host.Name]:
+		case a.StandingOnly:
+			list = append(list, candidate{h: h, barred: true})
 		case s.confirmed == 0 && len(s.issues) == 0 && s.demand < minDemand:
 			l.tokensLeft -= s.tokens
 			delete(l.held, h)
@@ -95,7 +99,7 @@
 		}
 	}
 	for i := range list {
-		if s := l.held[list[i].h]; s != nil && now.Sub(s.demandAt) < demandAge && s.demand >= minDemand {
+		if s := l.held[list[i].h]; s != nil && !list[i].barred && now.Sub(s.demandAt) < demandAge && s.demand >= minDemand {
 			list[i].demand = s.demand
 		}
 	}
--- a/internal/control/share/share.go
+++ b/internal/control/share/share.go
@@ -18,8 +18,9 @@
 	// Whole is the share of a limit that all holders hold together at most.
 	Whole uint32 = 1 << 20
 	// Term is how long a share lasts after the renewal that confirmed it was sent. It covers the
-	// election of a control leader and a restart of most control hosts.
-	Term = 6 * time.Second
+	// election of a control leader and a restart of most control hosts. A host must stay registered for as
+	// long after its last renewal.
+	Term = 4500 * time.Millisecond
 	// clockDriftDivisor sets how much earlier a holder ends its shares, to allow for clocks that run at
 	// different rates.
 	clockDriftDivisor = 20
--- a/internal/tools/node/control.go
+++ b/internal/tools/node/control.go
@@ -76,6 +76,7 @@
 	c.leader = &leader.Leader{
 		Driver: c.driver, Log: n.Log, Meter: n.Meter, LeaseDuration: leaseDuration, Now: clock.Monotonic, FailoverOptions: group.DefaultOptions(),
 		Tolerance:     n.cfg.LimitTolerance(),
+		ControlLends:  !n.cfg.ServesCallers(),
 		QuorumOptions: roster.NewOptions(n.cfg.Tolerate.Machines, n.cfg.CatchUpBound()),
 		Host:          n.cfg.Host, Platform: &leader.Platform{QueryStatus: platform.QueryInstanceStatus, Promote: cloud.Promote, LeaveDeadline: n.leaveDeadline},
 	}
