--- a/internal/traffic/lend/lend.go
+++ b/internal/traffic/lend/lend.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -264,12 +265,15 @@
 	reply.Stage = uint32(stage)
 	if err != nil {
 		s.handle.Close()
-		reply.Error = err.Error()
+		reply.Error, reply.Limited = err.Error(), errors.Is(err, topo.ErrNoShare)
 		return true
 	}
 	if a.Code == flow.Leaving {
 		reply.Leaving, a.Code = true, flow.Overloaded
 	}
+	if a.Code == flow.Limited {
+		reply.Limited, a.Code = true, flow.Overloaded
+	}
 	reply.Rows, reply.Proof, reply.Code, reply.Text, reply.State = a.Rows, a.Proof, uint32(a.Code), a.Text, uint32(a.State)
 	reply.Mark = &wire.LogPosition{Term: a.Position.Term, Number: a.Position.Position}
 	if !returnsConnection(req.Last, a) {
