even: Place reads by what lenders report about load

Hosts chose the instance of least cost by their own requests and mean times. With 26 hosts each has less than one request at an instance, so all with the same knowledge chose the same, and an instance that hangs or is slow was found out by each host for itself.

Lenders now put the load of an instance (running, waiting, service time of all requests and of those of the database) on each reply that passes anyway; a host keeps the newest with its age, counts less what is older, adds what it has sent since, and chooses the least expected time to an answer for loads drawn from what they may be by now. A read that another instance may serve is declined by a lender whose instance has no free slot; the host then knows that load and goes on, three times at most, before it waits where the least work is. Without reports (no lenders) everything is as before; without sess.Manager.Placer too. Impossible, old and foreign reports are counted and dropped.

Reads that need no more than a replica has reported don't avoid it any more because it lagged for another read. Failed tries tell the position that the instance reached.

Ruled out: the chooser alone, without declining.

New tests only; a read's rule about backoff has one more case in TestPick.

--- a/internal/tools/node/traffic.go
+++ b/internal/tools/node/traffic.go
@@ -12,6 +12,7 @@
 	"github.com/agatespindle/agatespindle/internal/control/agent"
 	"github.com/agatespindle/agatespindle/internal/control/spec"
 	"github.com/agatespindle/agatespindle/internal/traffic/drain"
+	"github.com/agatespindle/agatespindle/internal/traffic/even"
 	"github.com/agatespindle/agatespindle/internal/traffic/front"
 	"github.com/agatespindle/agatespindle/internal/traffic/lend"
 	"github.com/agatespindle/agatespindle/internal/traffic/pool"
@@ -51,6 +52,7 @@
 		Host: n.cfg.Host, Center: n.cfg.Center, LendOnly: !n.cfg.ServesCallers(), Agent: n.Agent, NewPool: t.newPool, Borrow: borrower.Open,
 		LeaveBound: n.cfg.LeaveBound(), Log: n.Log, Meter: n.Meter, Now: clock.Monotonic,
 	}
+	borrower.OnLoad = t.topology.RecordLoad
 	t.topology.Prepare()
 	t.lender = &lend.Lender{Topology: t.topology, Log: n.Log, Meter: n.Meter, Now: clock.Monotonic, Withdrawn: n.withdrawn}
 	n.links.Handlers[lend.Service] = t.lender.Serve
@@ -62,7 +64,8 @@
 func (n *Node) buildFront() {
 	t := n.traffic
 	n.Agent.Relays = n.relayAddrs
-	manager := &sess.Manager{Topology: t.topology, Costs: route.DefaultCosts(), Log: n.Log, LogBudget: sess.NewLogBudget(), Meter: n.Meter, Now: clock.Monotonic}
+	costs := route.DefaultCosts()
+	manager := &sess.Manager{Topology: t.topology, Costs: costs, Placer: even.NewPlacer(costs.Remote, costs.Primary), Log: n.Log, LogBudget: sess.NewLogBudget(), Meter: n.Meter, Now: clock.Monotonic}
 	t.front = &front.Server{
 		Addr: n.cfg.Listen.Callers, Codec: platform.CallerCodec(), Sessions: manager, Log: n.Log, Meter: n.Meter, Now: clock.Monotonic,
 		CanOpenSession: func(time.Time) bool { return t.topology.Snapshot().ManifestNumber > 0 }, DatabasesKnown: t.topology.ManifestLoaded(), ShedCallers: t.topology.LeaseLapsed, DrainDelay: balancerDetectionTime,
--- a/internal/traffic/flow/flow.go
+++ b/internal/traffic/flow/flow.go
@@ -112,11 +112,14 @@
 	// Limited means that the proxy withheld the statement: its client account has used up its allowance.
 	// Other instances withhold it as well.
 	Limited
+	// Declined means that the proxy withheld the statement because the instance had no free slot while
+	// another may have one. Callers never get it.
+	Declined
 )
 
 var codeNames = [...]string{
 	"ok", "busy", "aborted", "behind", "readonly", "misdirected", "toomany", "failed", "nostatement",
-	"timeout", "denied", "nodatabase", "toolarge", "invalid", "indoubt", "crowded", "unknown", "leaving", "limited",
+	"timeout", "denied", "nodatabase", "toolarge", "invalid", "indoubt", "crowded", "unknown", "leaving", "limited", "declined",
 }
 
 // String returns the name of the code used in metrics and log lines.
@@ -126,7 +129,7 @@
 // transaction, left no effect.
 func (c Code) GuaranteesNoEffect() bool {
 	switch c {
-	case Busy, Aborted, Behind, ReadOnly, Misdirected, TooMany, Overloaded, Leaving, Limited:
+	case Busy, Aborted, Behind, ReadOnly, Misdirected, TooMany, Overloaded, Leaving, Limited, Declined:
 		return true
 	}
 	return false
@@ -136,7 +139,7 @@
 // run the statement.
 func (c Code) NotRun() bool {
 	switch c {
-	case Busy, NoStatement, Behind, ReadOnly, Misdirected, TooMany, Overloaded, Leaving, Limited:
+	case Busy, NoStatement, Behind, ReadOnly, Misdirected, TooMany, Overloaded, Leaving, Limited, Declined:
 		return true
 	}
 	return false
--- a/internal/traffic/lend/borrower.go
+++ b/internal/traffic/lend/borrower.go
@@ -10,6 +10,7 @@
 
 	"github.com/agatespindle/agatespindle/internal/base/link"
 	"github.com/agatespindle/agatespindle/internal/base/wire"
+	"github.com/agatespindle/agatespindle/internal/traffic/even"
 	"github.com/agatespindle/agatespindle/internal/traffic/flow"
 	"github.com/agatespindle/agatespindle/internal/traffic/pool"
 	"github.com/agatespindle/agatespindle/internal/traffic/token"
@@ -21,6 +22,8 @@
 	Dialer *link.Dialer
 	// Now returns the current time; tests replace it.
 	Now func() time.Time
+	// OnLoad, if set, gets the load of an instance that came with a reply at a time.
+	OnLoad func(now time.Time, group, instance string, r even.Report)
 
 	mu sync.Mutex
 	// The keys of these maps are host addresses.
@@ -52,7 +55,8 @@
 			return nil, err
 		}
 	}
-	return &borrowedConn{borrower: b, addr: addr, stream: c, openParams: &wire.LendRequest{Group: group, Instance: instance, Rank: int64(prio.Rank), Database: prio.Database, Patience: int64(waitLimit)}}, nil
+	params := &wire.LendRequest{Group: group, Instance: instance, Rank: int64(prio.Rank), Database: prio.Database, Patience: int64(waitLimit), Movable: prio.Movable}
+	return &borrowedConn{borrower: b, addr: addr, group: group, instance: instance, database: prio.Database, stream: c, openParams: params}, nil
 }
 
 // avoids reports whether the host at addr is avoided at present.
@@ -179,6 +183,9 @@
 type borrowedConn struct {
 	borrower *Borrower
 	addr     string
+	group    string
+	instance string
+	database string
 	stream   *link.Conn
 	// openParams names the instance, rank and wait limit; it is sent with the first request and nil
 	// after that.
@@ -196,6 +203,7 @@
 	retryable := b.openParams != nil && !req.Writes
 	if b.openParams != nil {
 		lendReq.Group, lendReq.Instance, lendReq.Rank, lendReq.Database, lendReq.Patience = b.openParams.Group, b.openParams.Instance, b.openParams.Rank, b.openParams.Database, b.openParams.Patience
+		lendReq.Movable = b.openParams.Movable
 		b.openParams = nil
 	}
 	if err := b.stream.SetDeadline(time.Now().Add(replyLimit(lendReq) + transitAllowance)); err != nil {
@@ -209,6 +217,11 @@
 		b.borrower.checkHost(b.addr, b.stream)
 		return flow.Answer{}, flow.Sent, fmt.Errorf("lender %s: %w", b.addr, err)
 	}
+	b.passLoad(reply.Load)
+	if reply.Declined {
+		b.returned = true
+		return flow.Answer{Code: flow.Declined, Text: reply.Text}, flow.Answered, nil
+	}
 	if reply.Error != "" {
 		b.returned = true
 		return flow.Answer{}, flow.Stage(reply.Stage), fmt.Errorf("lender %s: %s", b.addr, reply.Error)
--- a/internal/traffic/lend/lend.go
+++ b/internal/traffic/lend/lend.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/agatespindle/agatespindle/internal/base/clock"
@@ -69,6 +70,8 @@
 	schedule drain.Schedule
 	// arrivedAt is when the last request arrived.
 	arrivedAt time.Time
+	// loadVersion is the version of the last report of an instance's load.
+	loadVersion atomic.Uint64
 }
 
 // lentStream is the lender's side of a stream. It lends at most one connection at a time.
@@ -80,6 +83,9 @@
 	// handle is the lent connection to instance, or nil.
 	handle   pool.Handle
 	instance string
+	// member is the instance of the last request, nil if it is not known, and database its database.
+	member   *topo.Member
+	database string
 	// request is the ID of the last request.
 	request string
 }
@@ -107,6 +113,7 @@
 	defer s.lender.finish(s)
 	abandoned := time.Now().Add(replyLimit(req) + transitAllowance)
 	reply := s.answer(ctx, now, req)
+	reply.Load = s.load()
 	if err := s.send(reply, abandoned); err != nil {
 		s.logCut("borrower", err)
 		return false
@@ -140,7 +147,11 @@
 		return reply
 	}
 	if s.handle == nil {
-		handle, err := l.open(ctx, req)
+		s.member, s.database = l.findMember(ctx, req), req.Database
+		if req.Movable && s.member != nil && s.member.Busy() {
+			return l.decline(s.member)
+		}
+		handle, err := l.open(ctx, s.member, req)
 		if err != nil {
 			reply.Error = err.Error()
 			return reply
@@ -230,8 +241,7 @@
 }
 
 // open acquires a handle to the requested instance from this host's own pool.
-func (l *Lender) open(ctx context.Context, req *wire.LendRequest) (pool.Handle, error) {
-	m := l.findMember(ctx, req)
+func (l *Lender) open(ctx context.Context, m *topo.Member, req *wire.LendRequest) (pool.Handle, error) {
 	if m == nil {
 		return nil, fault.New(fault.NotRun, fault.NoBackend, "this host does not lend connections to instance %s", req.Instance)
 	}
--- a/internal/traffic/pool/pool.go
+++ b/internal/traffic/pool/pool.go
@@ -131,6 +131,9 @@
 	Database string
 	// Account is the client account of the request, or "" if it has none.
 	Account string
+	// Movable is set if another instance may have a free slot: a lender whose instance has none then
+	// declines the request.
+	Movable bool
 }
 
 // UrgentRank is the lowest rank. It goes before all requests of callers.
--- a/internal/traffic/route/cost.go
+++ b/internal/traffic/route/cost.go
@@ -27,6 +27,9 @@
 	Latency time.Duration
 	// InBackoff is set while reads avoid the instance because it lagged or failed a statement.
 	InBackoff bool
+	// Lagging is set if it is in backoff because it lagged: reads that need no more than ReportedPosition
+	// don't avoid it.
+	Lagging bool
 	// ReportedPosition is the last position that the instance has reported.
 	ReportedPosition token.Position
 	// Tried is set for an instance that has already failed the same request.
@@ -37,6 +40,8 @@
 type Requirement struct {
 	// Primary is set for a request that must run at the primary.
 	Primary bool
+	// MinPosition is the position that a replica must have reached.
+	MinPosition token.Position
 }
 
 // Costs are the weights for choosing an instance, in time that is added to its mean latency.
@@ -63,10 +68,7 @@
 	best, found := "", false
 	var lowest time.Duration
 	for _, candidate := range candidates {
-		if candidate.Down || candidate.Left || candidate.Tried || (candidate.Draining && !candidate.Primary) || (r.Primary && !candidate.Primary) {
-			continue
-		}
-		if candidate.InBackoff && !candidate.Primary {
+		if !r.Allows(candidate) {
 			continue
 		}
 		cost := c.cost(candidate)
@@ -77,6 +79,19 @@
 	return best, found
 }
 
+// Allows reports whether an instance can be chosen for the request.
+func (r Requirement) Allows(c Candidate) bool {
+	switch {
+	case c.Down || c.Left || c.Tried:
+		return false
+	case c.Primary:
+		return true
+	case c.Draining || r.Primary:
+		return false
+	}
+	return !c.InBackoff || c.Lagging && c.ReportedPosition != (token.Position{}) && !c.ReportedPosition.Before(r.MinPosition)
+}
+
 func (c Costs) cost(candidate Candidate) time.Duration {
 	total := candidate.Latency + c.Queue*time.Duration(candidate.Load)/time.Duration(max(1, candidate.Slots))
 	if !candidate.Local {
--- a/internal/traffic/route/position_history_test.go
+++ b/internal/traffic/route/position_history_test.go
@@ -73,6 +73,17 @@
 			So(pick(route.Requirement{}, remote, worse), ShouldEqual, "remote")
 		}
 	})
+	Convey("A read that needs no more than what a lagging replica has reported doesn't avoid it; others do", t, func() {
+		lagging := local
+		lagging.InBackoff, lagging.Lagging, lagging.ReportedPosition = true, true, token.Position{Term: 1, Position: 8}
+		needs := func(n uint64) route.Requirement {
+			return route.Requirement{MinPosition: token.Position{Term: 1, Position: n}}
+		}
+		So(pick(needs(8), remote, lagging), ShouldEqual, "local")
+		So(pick(needs(9), remote, lagging), ShouldEqual, "remote")
+		lagging.Lagging = false
+		So(pick(needs(8), remote, lagging), ShouldEqual, "remote")
+	})
 	Convey("Requests that must run at the primary go only there", t, func() {
 		So(pick(route.Requirement{Primary: true}, local, primary), ShouldEqual, "p")
 		So(pick(route.Requirement{Primary: true}, local, remote), ShouldEqual, "")
--- a/internal/traffic/sess/execution.go
+++ b/internal/traffic/sess/execution.go
@@ -6,6 +6,7 @@
 
 	"github.com/agatespindle/agatespindle/internal/base/clock"
 	"github.com/agatespindle/agatespindle/internal/control/spec"
+	"github.com/agatespindle/agatespindle/internal/traffic/even"
 	"github.com/agatespindle/agatespindle/internal/traffic/flow"
 	"github.com/agatespindle/agatespindle/internal/traffic/pool"
 	"github.com/agatespindle/agatespindle/internal/traffic/route"
@@ -31,6 +32,10 @@
 	// excluded holds the names of the instances that are not tried again.
 	excluded map[string]bool
 	tries    int
+	// placement is the latest choice by reported loads, and declined holds the names of the instances that
+	// had no free slot for the statement.
+	placement even.Choice
+	declined  map[string]bool
 	// lastVerdict is the verdict on the latest try.
 	lastVerdict flow.Verdict
 	requestID   string
@@ -103,7 +108,7 @@
 	if !e.needsPrimary {
 		e.minPosition, e.needsPrimary = e.requiredPosition(ctx, now)
 	}
-	name, ok := e.session.mgr.Costs.Pick(route.Requirement{Primary: e.needsPrimary}, e.group.Candidates(now, e.excluded))
+	name, ok := e.place(now)
 	if !ok {
 		if primary := e.group.Member(e.group.Primary); primary != nil && primary.HasLeft(now) {
 			e.lastVerdict.Code = flow.Leaving
@@ -197,6 +202,9 @@
 	now := e.session.mgr.Now()
 	if err != nil {
 		conn.Close()
+		if stage == flow.Sent {
+			m.RecordMissingAnswer(now)
+		}
 		e.exclude(m.Instance)
 		e.recordFailure(m, stage, err.Error(), effect)
 		return e.handleMissingAnswer(effect)
@@ -205,6 +213,10 @@
 		return e.provePrimary(m, conn, answer)
 	}
 	conn.Release()
+	if answer.Code == flow.Declined {
+		e.decline(m)
+		return flow.Answer{}, false
+	}
 	e.recordAnswer(now, m, answer)
 	if answer.Code != flow.OK {
 		return e.handleErrorAnswer(ctx, now, m, answer, effect)
@@ -282,7 +294,7 @@
 
 // priority returns the order of the statement among others that wait for the same instance.
 func (e *execution) priority() pool.Priority {
-	return pool.Priority{Rank: e.db.Priority, Database: e.db.Name}
+	return pool.Priority{Rank: e.db.Priority, Database: e.db.Name, Movable: e.placement.Movable}
 }
 
 // answerTimeout returns how long to wait for the answer. A read that a replica can serve has a shorter
@@ -297,9 +309,11 @@
 
 // recordAnswer updates the routing state of an instance from the code of its answer.
 func (e *execution) recordAnswer(now time.Time, m *topo.Member, answer flow.Answer) {
+	m.RecordReached(answer.Position)
 	switch answer.Code {
 	case flow.OK:
 		m.RecordSuccess()
+		m.RecordAnswer(now)
 	case flow.Behind:
 		m.RecordLag(now)
 	case flow.Failed, flow.Unknown:
--- a/internal/traffic/sess/requestlog.go
+++ b/internal/traffic/sess/requestlog.go
@@ -46,7 +46,7 @@
 func (e *execution) logFailedTry(now time.Time, m *topo.Member, stage flow.Stage, cause string) {
 	e.session.mgr.logRequest(now, EventTryFailed, log.Fields{
 		"request": e.requestID, "database": e.db.Name, "group": e.db.Group, "instance": m.Instance, "stage": stage.String(), "cause": cause,
-		"try": e.tries, "needed": e.minPosition.Position, "term": e.group.Term, "took": now.Sub(e.started).String(), "viewage": e.session.mgr.Topology.Agent.ViewAge(now),
+		"try": e.tries, "needed": e.minPosition.Position, "reached": m.ReachedPosition().Position, "term": e.group.Term, "took": now.Sub(e.started).String(), "viewage": e.session.mgr.Topology.Agent.ViewAge(now),
 	})
 }
 
--- a/internal/traffic/sess/sess.go
+++ b/internal/traffic/sess/sess.go
@@ -8,6 +8,7 @@
 
 	"github.com/agatespindle/agatespindle/internal/base/logs"
 	"github.com/agatespindle/agatespindle/internal/base/meter"
+	"github.com/agatespindle/agatespindle/internal/traffic/even"
 	"github.com/agatespindle/agatespindle/internal/traffic/flow"
 	"github.com/agatespindle/agatespindle/internal/traffic/route"
 	"github.com/agatespindle/agatespindle/internal/traffic/token"
@@ -42,7 +43,9 @@
 type Manager struct {
 	Topology *topo.Topology
 	Costs    route.Costs
-	Log      *logs.Logger
+	// Placer, if set, chooses among instances whose lenders report their load; others are chosen by Costs.
+	Placer *even.Placer
+	Log    *logs.Logger
 	// LogBudget limits the rate of log lines about requests.
 	LogBudget *logs.RateLimiter
 	Meter     *meter.Meter
--- a/internal/traffic/sess/transaction.go
+++ b/internal/traffic/sess/transaction.go
@@ -124,6 +124,10 @@
 	answer, _, err := conn.Run(min(setupTimeout, max(time.Millisecond, e.remaining(sent))), s.values, req, false)
 	now := s.mgr.Now()
 	switch {
+	case err == nil && answer.Code == flow.Declined:
+		conn.Release()
+		e.decline(m)
+		return false
 	case err != nil:
 		conn.Close()
 		e.exclude(m.Instance)
--- a/internal/traffic/topo/borrow.go
+++ b/internal/traffic/topo/borrow.go
@@ -45,10 +45,12 @@
 			return flow.Answer{}, flow.Unsent, err
 		}
 		sentAt := b.member.topology.Now()
+		b.member.state.view.Sent(sentAt)
 		a, stage, err := b.handle.Run(timeout-sentAt.Sub(start), values, req, last)
+		b.member.state.view.Done(sentAt)
 		if err == nil || stage != flow.Unsent || b.sent {
 			b.sent = true
-			if err == nil {
+			if err == nil && a.Code != flow.Declined {
 				b.member.RecordLatency(b.member.topology.Now().Sub(sentAt))
 			}
 			return a, stage, err
--- a/internal/traffic/topo/topology.go
+++ b/internal/traffic/topo/topology.go
@@ -17,6 +17,7 @@
 	"github.com/agatespindle/agatespindle/internal/control/agent"
 	"github.com/agatespindle/agatespindle/internal/control/place"
 	"github.com/agatespindle/agatespindle/internal/control/spec"
+	"github.com/agatespindle/agatespindle/internal/traffic/even"
 	"github.com/agatespindle/agatespindle/internal/traffic/pool"
 	"github.com/agatespindle/agatespindle/internal/traffic/route"
 	"github.com/agatespindle/agatespindle/internal/traffic/token"
@@ -86,6 +87,8 @@
 	lentInstances    []place.Instance
 	lenderCandidates []place.Lender
 	positionQueries  sync.WaitGroup
+	// largestLoads has the instance with the largest known load by group. Only maintain uses it.
+	largestLoads map[string]string
 }
 
 // Snapshot is the topology at a revision of the resources. It is immutable.
@@ -157,7 +160,13 @@
 	noLenderUntil atomic.Int64
 	// lastLender is the address of the host that lent a connection last.
 	lastLender atomic.Pointer[string]
-	addr       string
+	// reached is the position that the instance reported last.
+	reached atomic.Pointer[token.Position]
+	// lagging is set while the backoff is for a lag.
+	lagging atomic.Bool
+	// view is what this host knows of the instance's load.
+	view even.View
+	addr string
 	// startTime is the start of the instance in Unix milliseconds.
 	startTime int64
 }
@@ -175,6 +184,7 @@
 	t.members = map[string]*Member{}
 	t.positions = map[string]*positionCache{}
 	t.unhealthyPrimary = map[string]bool{}
+	t.largestLoads = map[string]string{}
 	t.snapshot.Store(&Snapshot{})
 	t.manifestLoaded = make(chan struct{})
 	t.Agent.OnView = t.applyView
@@ -237,6 +247,7 @@
 		for _, m := range g.Members {
 			m.Maintain(now)
 		}
+		t.measureBalance(now, g)
 	}
 	if t.primaryHealthChanged(now) {
 		t.Agent.RenewNow()
@@ -372,7 +383,7 @@
 		list = append(list, route.Candidate{
 			Name: m.Instance, Primary: g.Open && m.Instance == g.Primary, Draining: m.Draining, Left: m.HasLeft(now), Down: m.unreachable(now),
 			Local: m.Local, Load: m.Load(), Slots: m.Slots, Latency: m.Latency(),
-			InBackoff: now.UnixNano() < m.state.backoffUntil.Load(), Tried: tried[m.Instance],
+			InBackoff: now.UnixNano() < m.state.backoffUntil.Load(), Lagging: m.state.lagging.Load(), ReportedPosition: m.ReachedPosition(), Tried: tried[m.Instance],
 		})
 	}
 	return list
@@ -396,14 +407,37 @@
 	})
 }
 
+// RecordReached records the log position that the instance reported with an answer. A zero position is
+// not recorded.
+func (m *Member) RecordReached(p token.Position) {
+	if p != (token.Position{}) {
+		m.state.reached.Store(&p)
+	}
+}
+
+// ReachedPosition returns the position that the instance reported last, zero if there is none.
+func (m *Member) ReachedPosition() token.Position {
+	if p := m.state.reached.Load(); p != nil {
+		return *p
+	}
+	return token.Position{}
+}
+
 // failingSince returns the time of the first lag or failure since the last success.
 func (m *Member) failingSince() time.Time { return time.Unix(0, m.state.failingSince.Load()) }
 
 // RecordLag starts a backoff for a replica that lacked the position a read needed.
-func (m *Member) RecordLag(now time.Time) { m.backOff(now, minLagBackoff, maxLagBackoff) }
+func (m *Member) RecordLag(now time.Time) {
+	m.state.lagging.Store(true)
+	m.backOff(now, minLagBackoff, maxLagBackoff)
+}
 
 // RecordFailure starts a backoff for an instance that failed a statement that others may serve.
-func (m *Member) RecordFailure(now time.Time) { m.backOff(now, minFailureBackoff, maxFailureBackoff) }
+func (m *Member) RecordFailure(now time.Time) {
+	m.state.lagging.Store(false)
+	m.state.view.Judge(now, true)
+	m.backOff(now, minFailureBackoff, maxFailureBackoff)
+}
 
 // backOff makes reads avoid the instance for a time that starts at initial and doubles with each
 // call before a success, up to maximum.
