--- a/internal/tools/story/story.go
+++ b/internal/tools/story/story.go
@@ -113,7 +113,7 @@
 	switch l.Message {
 	case sess.EventTryFailed:
 		return fmt.Sprintf("try %s at instance %s failed (%s): %s; required position %s, term %s, after %s; view of the resources %s old",
-			l.field("try"), l.field("instance"), l.field("stage"), l.field("cause"), l.field("needed"), l.field("term"), l.field("took"), l.field("viewage"))
+			l.field("try"), l.field("instance"), l.field("stage"), l.field("cause"), l.field("needed"), l.field("term"), l.field("took"), l.field("viewage")) + placementText(l)
 	case sess.EventRefused:
 		return leavingText(l) + fmt.Sprintf("request refused with %s after %s tries and %s; term %s of group %s open: %s, primary %s, lease valid: %s, latest known position %s old, view of the resources %s old",
 			l.field("code"), l.field("tries"), l.field("took"), l.field("term"), l.field("group"), l.field("open"), l.field("primary"), l.field("leased"), l.field("positionage"), l.field("viewage"))
@@ -126,7 +126,7 @@
 		return fmt.Sprintf("host closed the caller's connection: request running: %s (for %s), %s bytes of answers not sent, %s bytes of messages not handled; draining for %s",
 			l.field("busy"), l.field("took"), l.field("unsent"), l.field("unhandled"), l.field("draining"))
 	case sess.EventServed:
-		return fmt.Sprintf("served by instance %s on try %s after %s", l.field("instance"), l.field("try"), l.field("took"))
+		return fmt.Sprintf("served by instance %s on try %s after %s", l.field("instance"), l.field("try"), l.field("took")) + placementText(l)
 	}
 	b, err := json.Marshal(l.Fields)
 	if err != nil {
@@ -135,6 +135,14 @@
 	return l.Message + " " + string(b)
 }
 
+// placementText says why an instance was chosen, if it was by the load that lenders reported.
+func placementText(l logLine) string {
+	if _, ok := l.Fields["expected"]; !ok {
+		return ""
+	}
+	return fmt.Sprintf("; chosen for an expected %s by a report %s old, after %s lenders declined", l.field("expected"), l.field("newsage"), l.field("moved"))
+}
+
 // leavingText says how the primary's deadline for leaving stood when a request was refused, if the
 // primary was leaving.
 func leavingText(l logLine) string {
--- a/internal/tools/story/story_test.go
+++ b/internal/tools/story/story_test.go
@@ -45,6 +45,12 @@
 		So(story.Explain(&b, strings.NewReader(log), "82"), ShouldBeNil)
 		So(b.String(), ShouldContainSubstring, "primary i-1 leaves and gets new requests for another 2s")
 	})
+	Convey("An instance that was chosen by reported loads is told with the age of the report", t, func() {
+		log := `{"fields":{"request":"83","group":"g","instance":"i-1","try":1,"took":"20ms","expected":"15ms","newsage":"40ms","moved":1,"host":"edge-1"},"timestamp":"2026-01-01T10:00:00Z","message":"request served"}`
+		var b strings.Builder
+		So(story.Explain(&b, strings.NewReader(log), "83"), ShouldBeNil)
+		So(b.String(), ShouldContainSubstring, "served by instance i-1 on try 1 after 20ms; chosen for an expected 15ms by a report 40ms old, after 1 lenders declined")
+	})
 	Convey("An ID that no line mentions returns ErrNotFound", t, func() {
 		var b strings.Builder
 		So(errors.Is(story.Explain(&b, strings.NewReader(lines), "nobody"), story.ErrNotFound), ShouldBeTrue)
--- a/internal/traffic/even/view_test.go
+++ b/internal/traffic/even/view_test.go
@@ -58,6 +58,21 @@
 	})
 }
 
+func TestAvoidances(t *testing.T) {
+	option := func(service time.Duration, failures float64) even.Option {
+		return even.Option{Slots: 4, News: even.News{Known: true, Service: service, KindService: service, FailureShare: failures}}
+	}
+	Convey("An instance that is much slower than its peers or fails a part of its requests is told, with the evidence", t, func() {
+		list := even.Avoidances([]even.Option{option(15*time.Millisecond, 0), option(75*time.Millisecond, 0), option(20*time.Millisecond, 0.3), option(25*time.Millisecond, 0.05)})
+		So(list[0].Reason, ShouldBeEmpty)
+		So(list[1].Reason, ShouldEqual, even.AvoidedSlow)
+		So(list[1].Service, ShouldEqual, 75*time.Millisecond)
+		So(list[1].Typical, ShouldEqual, 20*time.Millisecond)
+		So(list[2].Reason, ShouldEqual, even.AvoidedFailing)
+		So(list[3].Reason, ShouldBeEmpty)
+	})
+}
+
 func TestMeasure(t *testing.T) {
 	option := func(load float64) even.Option {
 		return even.Option{Slots: 4, News: even.News{Known: true, Load: load}}
--- a/internal/traffic/sess/placing.go
+++ b/internal/traffic/sess/placing.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/agatespindle/agatespindle/internal/traffic/even"
 	"github.com/agatespindle/agatespindle/internal/traffic/flow"
 	"github.com/agatespindle/agatespindle/internal/traffic/route"
@@ -25,6 +27,9 @@
 		return mgr.Costs.Pick(required, candidates)
 	}
 	e.placement = mgr.Placer.Pick(options)
+	for i, avoided := range even.Avoidances(options) {
+		e.group.Member(names[i]).RecordAvoidance(now, avoided)
+	}
 	mgr.Meter.AddCounter("placed.by_load", 1)
 	return names[e.placement.Index], true
 }
@@ -45,6 +50,14 @@
 	return names, options
 }
 
+// placementFields adds to the fields of a log line why the instance of the latest try was chosen.
+func (e *execution) placementFields(fields log.Fields) log.Fields {
+	if e.placement.Expected > 0 {
+		fields["expected"], fields["newsage"], fields["moved"] = e.placement.Expected.String(), e.placement.Age.String(), len(e.declined)
+	}
+	return fields
+}
+
 // decline records that the lender of an instance declined the statement, which then moves on. It counts as
 // no try.
 func (e *execution) decline(m *topo.Member) {
--- a/internal/traffic/sess/requestlog.go
+++ b/internal/traffic/sess/requestlog.go
@@ -44,10 +44,10 @@
 
 // logFailedTry logs a failed try.
 func (e *execution) logFailedTry(now time.Time, m *topo.Member, stage flow.Stage, cause string) {
-	e.session.mgr.logRequest(now, EventTryFailed, log.Fields{
+	e.session.mgr.logRequest(now, EventTryFailed, e.placementFields(log.Fields{
 		"request": e.requestID, "database": e.db.Name, "group": e.db.Group, "instance": m.Instance, "stage": stage.String(), "cause": cause,
 		"try": e.tries, "needed": e.minPosition.Position, "reached": m.ReachedPosition().Position, "term": e.group.Term, "took": now.Sub(e.started).String(), "viewage": e.session.mgr.Topology.Agent.ViewAge(now),
-	})
+	}))
 }
 
 // logRefusal logs a statement that failed after its last try.
@@ -80,10 +80,10 @@
 	if !logs.Sampled(e.requestID) {
 		return
 	}
-	e.session.mgr.logRequest(now, EventServed, log.Fields{
+	e.session.mgr.logRequest(now, EventServed, e.placementFields(log.Fields{
 		"request": e.requestID, "database": e.db.Name, "group": e.db.Group, "instance": m.Instance, "try": e.tries,
 		"needed": e.minPosition.Position, "term": e.group.Term, "took": now.Sub(e.started).String(), "viewage": e.session.mgr.Topology.Agent.ViewAge(now),
-	})
+	}))
 }
 
 // CallerLeft counts and logs a statement, started at started, whose caller closed the connection before
--- a/internal/traffic/topo/load.go
+++ b/internal/traffic/topo/load.go
@@ -2,8 +2,11 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/agatespindle/agatespindle/internal/traffic/even"
 )
 
@@ -33,6 +36,42 @@
 // RecordAnswer records that the instance answered a request, whatever with, and did not fail it.
 func (m *Member) RecordAnswer(now time.Time) { m.state.view.Judge(now, false) }
 
+// avoidance is why an instance gets fewer requests than its peers, since a time.
+type avoidance struct {
+	mu     sync.Mutex
+	reason string
+	since  time.Time
+}
+
+// minAvoidancePeriod is the least time between two changes that are logged: what is known of an instance
+// may be close to a limit.
+const minAvoidancePeriod = time.Second
+
+// RecordAvoidance logs and counts that the instance begins to get fewer requests than its peers, or gets
+// its share again.
+func (m *Member) RecordAvoidance(now time.Time, a even.Avoidance) {
+	current := &m.state.avoidance
+	current.mu.Lock()
+	changed := a.Reason != current.reason && now.Sub(current.since) >= minAvoidancePeriod
+	before := current.reason
+	if changed {
+		current.reason, current.since = a.Reason, now
+	}
+	current.mu.Unlock()
+	if !changed {
+		return
+	}
+	entry := m.topology.Log.WithFields(log.Fields{
+		"group": m.Group, "instance": m.Instance, "failures": a.FailureShare, "service": a.Service.String(), "typical": a.Typical.String(), "newsage": a.Age.String(),
+	})
+	if a.Reason == "" {
+		entry.WithField("reason", before).Info("instance gets its share of requests again")
+		return
+	}
+	m.topology.Meter.AddCounter("placed.avoided."+a.Reason, 1)
+	entry.WithField("reason", a.Reason).Info("instance gets fewer requests")
+}
+
 // balanceNewsAge is the largest age of reports by which the balance of a group is measured.
 const balanceNewsAge = 500 * time.Millisecond
 
--- a/internal/traffic/topo/load_test.go
+++ b/internal/traffic/topo/load_test.go
@@ -48,6 +48,23 @@
 	return topology, topology.Member("g", "i")
 }
 
+// TestAvoidanceIsLoggedOnce is a grey instance close to the limit, which thousands of requests judge.
+func TestAvoidanceIsLoggedOnce(t *testing.T) {
+	Convey("An instance that is avoided is logged and counted once, at most once a second", t, func() {
+		topology, member := borrowingHost()
+		now := time.Unix(1000, 0)
+		failing := even.Avoidance{Reason: even.AvoidedFailing, FailureShare: 0.4}
+		for range 10 {
+			member.RecordAvoidance(now, failing)
+			member.RecordAvoidance(now, even.Avoidance{})
+		}
+		So(topology.Meter.CounterValue("placed.avoided.failing"), ShouldEqual, 1)
+		member.RecordAvoidance(now.Add(2*time.Second), even.Avoidance{})
+		member.RecordAvoidance(now.Add(4*time.Second), failing)
+		So(topology.Meter.CounterValue("placed.avoided.failing"), ShouldEqual, 2)
+	})
+}
+
 // TestRecordLoadDropsForeignReports is the news of a host that lends an instance no more, or of an instance
 // that is gone.
 func TestRecordLoadDropsForeignReports(t *testing.T) {
--- a/internal/traffic/topo/topology.go
+++ b/internal/traffic/topo/topology.go
@@ -166,7 +166,9 @@
 	lagging atomic.Bool
 	// view is what this host knows of the instance's load.
 	view even.View
-	addr string
+	// avoidance is why the instance gets fewer requests, as logged last.
+	avoidance avoidance
+	addr      string
 	// startTime is the start of the instance in Unix milliseconds.
 	startTime int64
 }
