--- a/internal/traffic/lend/borrower.go
+++ b/internal/traffic/lend/borrower.go
@@ -10,6 +10,7 @@
 
 	"github.com/agatespindle/agatespindle/internal/base/link"
 	"github.com/agatespindle/agatespindle/internal/base/wire"
+	"github.com/agatespindle/agatespindle/internal/traffic/even"
 	"github.com/agatespindle/agatespindle/internal/traffic/flow"
 	"github.com/agatespindle/agatespindle/internal/traffic/pool"
 	"github.com/agatespindle/agatespindle/internal/traffic/token"
@@ -22,6 +23,8 @@
 	Dialer *link.Dialer
 	// Now returns the current time; tests replace it.
 	Now func() time.Time
+	// OnLoad, if set, gets the load of an instance that came with a reply at a time.
+	OnLoad func(now time.Time, group, instance string, r even.Report)
 
 	mu sync.Mutex
 	// The keys of these maps are host addresses.
@@ -53,9 +56,11 @@
 			return nil, err
 		}
 	}
-	return &borrowedConn{borrower: b, addr: addr, stream: c, openParams: &wire.LendRequest{
-		Group: group, Instance: instance, Rank: int64(prio.Rank), Database: prio.Database, Account: prio.Account, Patience: int64(waitLimit), Late: prio.MayBeLate,
-	}}, nil
+	params := &wire.LendRequest{
+		Group: group, Instance: instance, Rank: int64(prio.Rank), Database: prio.Database, Account: prio.Account, Patience: int64(waitLimit),
+		Late: prio.MayBeLate, Movable: prio.Movable,
+	}
+	return &borrowedConn{borrower: b, addr: addr, group: group, instance: instance, database: prio.Database, stream: c, openParams: params}, nil
 }
 
 // avoids reports whether the host at addr is avoided at present.
@@ -182,6 +187,9 @@
 type borrowedConn struct {
 	borrower *Borrower
 	addr     string
+	group    string
+	instance string
+	database string
 	stream   *link.Conn
 	// openParams names the instance, rank and wait limit; it is sent with the first request and nil
 	// after that.
@@ -200,6 +208,7 @@
 	if b.openParams != nil {
 		lendReq.Group, lendReq.Instance, lendReq.Rank, lendReq.Patience, lendReq.Late = b.openParams.Group, b.openParams.Instance, b.openParams.Rank, b.openParams.Patience, b.openParams.Late
 		lendReq.Database, lendReq.Account = b.openParams.Database, b.openParams.Account
+		lendReq.Movable = b.openParams.Movable
 		b.openParams = nil
 	}
 	if err := b.stream.SetDeadline(time.Now().Add(replyLimit(lendReq) + transitAllowance)); err != nil {
@@ -213,6 +222,11 @@
 		b.borrower.checkHost(b.addr, b.stream)
 		return flow.Answer{}, flow.Sent, fmt.Errorf("lender %s: %w", b.addr, err)
 	}
+	b.passLoad(reply.Load)
+	if reply.Declined {
+		b.returned = true
+		return flow.Answer{Code: flow.Declined, Text: reply.Text}, flow.Answered, nil
+	}
 	if reply.Error != "" {
 		b.returned = true
 		if reply.Limited {
--- a/internal/traffic/pool/pool.go
+++ b/internal/traffic/pool/pool.go
@@ -159,6 +159,9 @@
 	// MayBeLate is set for a request that no other instance can serve. If no slot gets free within its wait
 	// limit, it waits for as long as its answer can still arrive within its time limit.
 	MayBeLate bool
+	// Movable is set if another instance may have a free slot: a lender whose instance has none then
+	// declines the request.
+	Movable bool
 }
 
 // own reports whether the request is one of this host itself, which may run on any connection.
