front, bounds, link: Bound what callers and other hosts hold

Cause: nothing bounded what all callers of a host hold together. A caller's bounds (4 MiB ahead, 1 MiB unread) times their number is many times the memory; session values and prepared statements, answers, kept buffers, frames and streams of peers had none. A caller at rest kept its last message (its ID is a part of it) and its last answer. The engine accepted all that waited before any was refused, and ends when no descriptor is left. A message in pieces was copied and searched again with each piece. With all places taken by sessions at rest or by readers that had stopped, nobody else was served. Change: bounds.Budget, charged for what is received, running, unsent and kept by sessions; who goes first is a decision without a network. Large answers are counted while they arrive and wait at the lending host. Connections are accepted in the event loop. A refused connection makes an idle one go. Limits of Hello, lent requests, calls, peers' connections and streams. The runtime gets a soft limit. Large buffers, session values and prepared statements on connections to instances are not kept. Ruled out: waiting in place of refusing (the event loop cannot stop reading one connection), bounds for an address (the balancer's may be all that is seen), closing connections to instances that keep much (counts as their failure).

--- a/internal/base/link/link.go
+++ b/internal/base/link/link.go
@@ -17,6 +17,7 @@
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/agatespindle/agatespindle/internal/base/bounds"
 	"github.com/agatespindle/agatespindle/internal/base/clock"
 	"github.com/agatespindle/agatespindle/internal/base/wire"
 )
@@ -55,10 +56,15 @@
 	r   *bufio.Reader
 	mu  sync.Mutex
 	buf []byte
+	// maxBytes is the maximum size of a received message.
+	maxBytes uint64
+	// budget, if set, bounds the large messages that are received, and received is the claim of one.
+	budget   *bounds.Budget
+	received *bounds.Claim
 }
 
 func newConn(raw net.Conn) *Conn {
-	return &Conn{raw: raw, r: bufio.NewReader(raw)}
+	return &Conn{raw: raw, r: bufio.NewReader(raw), maxBytes: MaxMessageBytes}
 }
 
 // Send writes m. It is safe for concurrent use.
@@ -71,6 +77,7 @@
 		return fmt.Errorf("encode message: %w", err)
 	}
 	c.buf = b
+	defer c.dropBuffer()
 	if _, err := c.raw.Write(b); err != nil {
 		return fmt.Errorf("send message: %w", err)
 	}
@@ -79,23 +86,31 @@
 
 // Recv reads the next message into m. At the end of the stream it returns io.EOF.
 func (c *Conn) Recv(m proto.Message) error {
-	b, err := ReadFrame(c.r)
+	defer c.giveBack()
+	b, err := readFrame(c.r, c.maxBytes, c.admit)
 	if err != nil {
 		return err
 	}
+	defer c.shrink(len(b))
 	return proto.Unmarshal(b, m)
 }
 
 // ReadFrame reads one frame, an unsigned varint length and that many bytes, and returns the bytes. A
 // length over MaxMessageBytes is an error. The buffer grows with the bytes that arrive, so that a
 // wrong length does not allocate much memory.
-func ReadFrame(r *bufio.Reader) ([]byte, error) {
+func ReadFrame(r *bufio.Reader) ([]byte, error) { return readFrame(r, MaxMessageBytes, admitAll) }
+
+// readFrame is ReadFrame with another limit. admit is called before the bytes are read.
+func readFrame(r *bufio.Reader, limit uint64, admit func(n uint64) error) ([]byte, error) {
 	n, err := binary.ReadUvarint(r)
 	if err != nil {
 		return nil, err
 	}
-	if n > MaxMessageBytes {
-		return nil, fmt.Errorf("message of %d bytes is over the limit of %d", n, MaxMessageBytes)
+	if n > limit {
+		return nil, fmt.Errorf("message of %d bytes is over the limit of %d", n, limit)
+	}
+	if err := admit(n); err != nil {
+		return nil, err
 	}
 	b := make([]byte, 0, min(n, 64<<10))
 	for uint64(len(b)) < n {
@@ -170,7 +185,11 @@
 	Listener net.Listener
 	// Handlers are the handlers by service name.
 	Handlers map[string]Handler
+	// MaxSessions and MaxStreams are the maximum numbers of connections from other hosts and of their streams;
+	// zero means no limit.
+	MaxSessions, MaxStreams int
 
+	peers    peers
 	mu       sync.Mutex
 	sessions map[*yamux.Session]struct{}
 	wg       sync.WaitGroup
@@ -227,7 +246,8 @@
 			raw.Close()
 			continue
 		}
-		if !s.trackSession(ctx, session) {
+		if !s.peers.add(time.Now(), session, s.MaxSessions) || !s.trackSession(ctx, session) {
+			s.peers.remove(session)
 			session.Close()
 			continue
 		}
@@ -251,6 +271,7 @@
 	defer s.wg.Done()
 	defer func() {
 		session.Close()
+		s.peers.remove(session)
 		s.mu.Lock()
 		delete(s.sessions, session)
 		s.mu.Unlock()
@@ -260,6 +281,10 @@
 		if err != nil {
 			return
 		}
+		if !s.peers.begin(s.MaxStreams) {
+			stream.Close()
+			continue
+		}
 		s.wg.Add(1)
 		go s.serveStream(ctx, stream)
 	}
@@ -267,11 +292,12 @@
 
 func (s *Server) serveStream(ctx context.Context, raw net.Conn) {
 	defer s.wg.Done()
+	defer s.peers.end()
 	defer raw.Close()
 	c := newConn(raw)
 	raw.SetDeadline(time.Now().Add(helloTimeout))
 	hello := &wire.Hello{}
-	if c.Recv(hello) != nil {
+	if c.recvHello(hello) != nil {
 		return
 	}
 	raw.SetDeadline(time.Time{})
--- a/internal/control/leader/leader__calls.go
+++ b/internal/control/leader/leader__calls.go
@@ -27,8 +27,12 @@
 	MethodLeaveQuorum = "stopping"
 )
 
+// maxCallBytes is the maximum size of a call: the largest declaration, twice over.
+const maxCallBytes = 32 << 20
+
 // ServeCall answers the calls of one stream until it ends. It is a link.Handler.
 func (l *Leader) ServeCall(ctx context.Context, _ string, c *link.Conn) {
+	c.SetMaxBytes(maxCallBytes)
 	for ctx.Err() == nil {
 		call := &wire.ControlRequest{}
 		if c.Recv(call) != nil {
--- a/internal/tools/node/node.go
+++ b/internal/tools/node/node.go
@@ -108,7 +108,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for hosts: %w", err)
 	}
-	n.links = &link.Server{Listener: ln, Handlers: map[string]link.Handler{}}
+	n.links = &link.Server{Listener: ln, Handlers: map[string]link.Handler{}, MaxSessions: cfg.MaxHosts(), MaxStreams: cfg.MaxStreams()}
 	if err := n.build(); err != nil {
 		ln.Close()
 		return nil, err
--- a/internal/tools/node/traffic.go
+++ b/internal/tools/node/traffic.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/agatespindle/agatespindle/internal/base/bounds"
 	"github.com/agatespindle/agatespindle/internal/base/clock"
 	"github.com/agatespindle/agatespindle/internal/base/conf"
 	"github.com/agatespindle/agatespindle/internal/base/kernel"
@@ -40,19 +41,21 @@
 	topology *topo.Topology
 	front    *front.Server
 	lender   *lend.Lender
+	// memory bounds what callers, and hosts that borrow, hold; nil means no bound.
+	memory *bounds.Budget
 }
 
 // buildTraffic builds what entry and control hosts have in common: the topology, and the lender of
 // connections to instances.
 func (n *Node) buildTraffic() {
-	t := &traffic{n: n}
-	borrower := &lend.Borrower{Dialer: n.dialer, Now: clock.Monotonic}
+	t := &traffic{n: n, memory: n.callerMemory()}
+	borrower := &lend.Borrower{Dialer: n.dialer, Now: clock.Monotonic, Memory: t.memory}
 	t.topology = &topo.Topology{
 		Host: n.cfg.Host, Center: n.cfg.Center, LendOnly: !n.cfg.ServesCallers(), Agent: n.Agent, NewPool: t.newPool, Borrow: borrower.Open,
 		LeaveBound: n.cfg.LeaveBound(), Log: n.Log, Meter: n.Meter, Now: clock.Monotonic,
 	}
 	t.topology.Prepare()
-	t.lender = &lend.Lender{Topology: t.topology, Log: n.Log, Meter: n.Meter, Now: clock.Monotonic, Withdrawn: n.withdrawn}
+	t.lender = &lend.Lender{Topology: t.topology, Log: n.Log, Meter: n.Meter, Now: clock.Monotonic, Withdrawn: n.withdrawn, Memory: t.memory}
 	n.links.Handlers[lend.Service] = t.lender.Serve
 	n.links.Handlers[agent.RelayService] = n.Agent.Relay
 	n.traffic = t
@@ -66,11 +69,25 @@
 	t.front = &front.Server{
 		Addr: n.cfg.Listen.Callers, Codec: platform.CallerCodec(), Sessions: manager, Log: n.Log, Meter: n.Meter, Now: clock.Monotonic,
 		CanOpenSession: func(time.Time) bool { return t.topology.Snapshot().ManifestNumber > 0 }, DatabasesKnown: t.topology.ManifestLoaded(), ShedCallers: t.topology.LeaseLapsed, DrainDelay: balancerDetectionTime,
-		Limits:           front.Limits{Callers: n.cfg.MaxCallers(), MessageTimeout: front.DefaultMessageTimeout, UnreadBytes: front.DefaultUnreadBytes},
+		Limits:           front.Limits{Callers: n.cfg.MaxCallers(), MessageTimeout: front.DefaultMessageTimeout, UnreadBytes: front.DefaultUnreadBytes, SessionBytes: front.DefaultSessionBytes, SessionValues: front.DefaultSessionValues},
+		Memory:           t.memory,
 		TransactionLimit: n.transactionLimit(),
 	}
 }
 
+// callerShare is what each caller may hold when callers have used up their memory, in bytes: ordinary
+// statements and answers.
+const callerShare = 16 << 10
+
+// callerMemory returns the budget of memory for callers, or nil if the settings give no limit.
+func (n *Node) callerMemory() *bounds.Budget {
+	total := bounds.BudgetFor(n.cfg.MemoryLimit())
+	if total == 0 {
+		return nil
+	}
+	return &bounds.Budget{Total: total, Share: callerShare, Meter: n.Meter, Name: "memory.callers"}
+}
+
 // transactionLimit returns how long transactions may go on after the start of a shutdown.
 func (n *Node) transactionLimit() time.Duration {
 	return time.Duration(transactionDrainShare * float64(n.cfg.GracePeriod()))
@@ -94,7 +111,7 @@
 func (t *traffic) newPool(group, instance, addr string, sameCenter bool, slots int) *pool.Pool {
 	return &pool.Pool{
 		Group: group, Instance: instance, Addr: addr, Local: sameCenter, Slots: slots, Codec: platform.BackendCodec(),
-		Log: t.n.Log, Meter: t.n.Meter, Dial: dial, Now: clock.Monotonic,
+		Log: t.n.Log, Meter: t.n.Meter, Dial: dial, Now: clock.Monotonic, Memory: t.memory,
 	}
 }
 
--- a/internal/tools/nodes/run.go
+++ b/internal/tools/nodes/run.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/agatespindle/agatespindle/internal/base/bounds"
 	"github.com/agatespindle/agatespindle/internal/base/logs"
 	"github.com/agatespindle/agatespindle/internal/tools/node"
 	"github.com/agatespindle/agatespindle/platform"
@@ -39,6 +40,7 @@
 	if err != nil {
 		return usageError{err}
 	}
+	bounds.LimitHeap(cfg.MemoryLimit())
 	logOut := logs.NewBoundedWriter()
 	writeCtx, stopWriting := context.WithCancel(context.Background())
 	writerDone := logOut.Run(writeCtx, c.out)
--- a/internal/traffic/front/caller.go
+++ b/internal/traffic/front/caller.go
@@ -8,6 +8,7 @@
 
 	"github.com/panjf2000/gnet/v2"
 
+	"github.com/agatespindle/agatespindle/internal/base/bounds"
 	"github.com/agatespindle/agatespindle/internal/base/clock"
 	"github.com/agatespindle/agatespindle/internal/traffic/drain"
 	"github.com/agatespindle/agatespindle/internal/traffic/flow"
@@ -41,7 +42,6 @@
 	abandoned bool
 	// abandonedState is the transaction state that the caller was told last, once abandoned is set.
 	abandonedState flow.State
-	out            []byte
 	// partialSince is when the first part of an incomplete message was seen; zero if there is none.
 	partialSince time.Time
 	// reading is the caller's progress with answers that hold up its next message or the close, and
@@ -64,6 +64,20 @@
 	// ending is set once no further message is handled: the connection is closed when all answers have
 	// been sent.
 	ending bool
+	// in is what the caller has sent and is not handled yet.
+	in inbox
+	// claim is what the caller holds of the host's memory.
+	claim *bounds.Claim
+	// sessionGrown is at least what the session keeps, and sessionHeld what is counted for it, in bytes.
+	sessionGrown, sessionHeld int
+	// unread is set while answers wait for the caller to read.
+	unread bool
+	// pace is the caller's progress with them.
+	pace drain.Progress
+	// unanswerable is set if the host has no memory for an answer.
+	unanswerable bool
+	// usedAt is when the last statement arrived.
+	usedAt time.Time
 }
 
 // handleTraffic handles the complete messages in the input buffer and closes the connection if that is
@@ -78,6 +92,11 @@
 				return gnet.Close
 			}
 		}
+		if !again || len(out) > 0 {
+			if !c.account(now) {
+				return gnet.Close
+			}
+		}
 		if !again {
 			return c.closeIfDone(now)
 		}
@@ -88,21 +107,23 @@
 func (c *caller) handleNext(now time.Time) (out []byte, again bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || c.ending {
+	if c.closed {
 		return nil, false
 	}
-	b, err := c.conn.Peek(-1)
-	if c.flooded() {
+	if !c.receive() {
+		return c.dropOverflow(), false
+	}
+	if c.ending || c.flooded() {
 		return nil, false
 	}
 	if c.occupied() {
-		c.sendsAhead = c.sendsAhead || c.used && len(b) > 0
+		c.sendsAhead = c.sendsAhead || c.used && c.in.size() > 0
 		return nil, false
 	}
-	if err != nil || len(b) == 0 {
+	if c.in.size() == 0 {
 		return nil, false
 	}
-	m, n, err := c.srv.Codec.ParseMessage(b)
+	m, n, err := c.parse()
 	if err != nil {
 		c.end()
 		return c.reject(err), false
@@ -117,10 +138,7 @@
 	if c.awaitsReader(now) {
 		return nil, false
 	}
-	if _, err := c.conn.Discard(n); err != nil {
-		c.end()
-		return nil, false
-	}
+	c.discard(n)
 	return c.handleMessage(now, m), true
 }
 
@@ -159,19 +177,24 @@
 // handleStatement answers a statement that needs no instance, and starts or refuses any other. c.mu must
 // be held.
 func (c *caller) handleStatement(now time.Time, st flow.Statement) []byte {
-	if c.used && c.conn.InboundBuffered() > 0 {
+	if c.used && c.in.size() > 0 {
 		c.sendsAhead = true
 	}
-	c.used = true
+	c.used, c.usedAt = true, now
 	if !c.refusingSince.IsZero() || c.refuses(now, st) {
 		return c.refuse(now, c.session.Refuse(st))
 	}
+	if a, ok := c.keepsSession(st); !ok {
+		return c.srv.Codec.AppendAnswer(nil, a)
+	}
 	if a, ok := c.session.RunLocal(now, st); ok {
-		c.out = c.srv.Codec.AppendAnswer(c.out[:0], a)
-		return c.out
+		return c.srv.Codec.AppendAnswer(nil, a)
+	}
+	if !c.startsWithin(st) {
+		return c.refuseForMemory(st)
 	}
 	fallback := c.session.AnswerIfAbandoned(st)
-	c.busy, c.running, c.startedAt, c.fallback = true, st.ID, now, &fallback
+	c.busy, c.running, c.startedAt, c.fallback = true, logID(st.ID), now, &fallback
 	c.srv.wg.Add(1)
 	go c.runStatement(st)
 	return nil
@@ -299,8 +322,13 @@
 		c.finish()
 		return
 	}
-	c.out = c.srv.Codec.AppendAnswer(c.out[:0], a)
-	out := c.out
+	if !c.holdsAnswer(a) {
+		c.mu.Unlock()
+		c.finish()
+		_ = c.conn.Wake(nil)
+		return
+	}
+	out := c.srv.Codec.AppendAnswer(nil, a)
 	c.mu.Unlock()
 	c.reply(out)
 }
@@ -332,10 +360,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = false
+	c.claim.Force(bounds.Running, 0)
 	if (c.closed || c.overdue) && c.session != nil {
 		c.session.Close()
 		c.session = nil
 	}
+	if c.closed {
+		c.claim.Close()
+	}
 }
 
 // expireTransaction rolls back a transaction that has exceeded its idle timeout.
--- a/internal/traffic/front/caller__close.go
+++ b/internal/traffic/front/caller__close.go
@@ -5,6 +5,7 @@
 
 	"github.com/panjf2000/gnet/v2"
 
+	"github.com/agatespindle/agatespindle/internal/base/bounds"
 	"github.com/agatespindle/agatespindle/internal/traffic/drain"
 	"github.com/agatespindle/agatespindle/internal/traffic/flow"
 )
@@ -16,7 +17,7 @@
 // then, and the connection is closed after the answer to the running statement. c.mu must be held, and
 // the event loop must call it.
 func (c *caller) flooded() bool {
-	if !c.flood && c.conn.InboundBuffered() > maxUnhandled {
+	if !c.flood && c.in.size() > maxUnhandled {
 		reason := "refused.flood"
 		if c.blocked {
 			reason = "refused.unread"
@@ -27,13 +28,25 @@
 	if !c.flood {
 		return false
 	}
-	_, _ = c.conn.Discard(-1)
+	c.dropInput()
 	if !c.busy {
 		c.end()
 	}
 	return true
 }
 
+// dropOverflow drops what the host has no memory for. A caller that waits for no answer is told, and its
+// connection is closed; of another one it is closed after the answer. c.mu must be held.
+func (c *caller) dropOverflow() []byte {
+	c.dropInput()
+	if c.occupied() {
+		c.flood = true
+		return nil
+	}
+	c.end()
+	return c.srv.Codec.AppendStartupAnswer(nil, flow.ErrorAnswer(flow.Busy, flow.Idle, "host has no memory for the message"))
+}
+
 // awaitsReader reports whether a message waits until the caller has read more of the answers before it. A
 // caller that stops reading is disconnected. c.mu must be held, and the event loop must call it.
 func (c *caller) awaitsReader(now time.Time) bool {
@@ -82,7 +95,7 @@
 // event loop must call it.
 func (c *caller) state() drain.Conn {
 	st := drain.Conn{
-		Opened: c.connectedAt, Used: c.used, Running: c.occupied(), Received: c.conn.InboundBuffered(), Unsent: c.conn.OutboundBuffered(),
+		Opened: c.connectedAt, Used: c.used, Running: c.occupied(), Received: c.in.size() + c.conn.InboundBuffered(), Unsent: c.conn.OutboundBuffered(),
 	}
 	// The session of a running statement belongs to its goroutine.
 	if !st.Running {
@@ -152,7 +165,14 @@
 	if c.cancel != nil {
 		c.cancel()
 	}
-	if !c.busy && c.session != nil {
+	c.in = inbox{}
+	c.claim.Force(bounds.Received, 0)
+	c.claim.Force(bounds.Unsent, 0)
+	if c.busy {
+		return
+	}
+	c.claim.Close()
+	if c.session != nil {
 		c.session.Close()
 		c.session = nil
 	}
@@ -162,7 +182,7 @@
 // must call it before the connection is released.
 func (c *caller) logCut(now time.Time) {
 	c.mu.Lock()
-	cut := drain.Cut{Request: c.running, Running: c.occupied(), StartedAt: c.startedAt, OpenedAt: c.connectedAt, Unsent: c.conn.OutboundBuffered(), Unhandled: c.conn.InboundBuffered()}
+	cut := drain.Cut{Request: c.running, Running: c.occupied(), StartedAt: c.startedAt, OpenedAt: c.connectedAt, Unsent: c.conn.OutboundBuffered(), Unhandled: c.in.size() + c.conn.InboundBuffered()}
 	c.mu.Unlock()
 	cut.Log(now, c.srv.drain.Schedule(), c.srv.Log, c.srv.Meter)
 }
@@ -176,7 +196,7 @@
 	if c.closed {
 		return
 	}
-	if c.ending || c.blocked {
+	if c.ending || c.blocked || c.unread {
 		// The caller may have read answers since.
 		defer c.wake()
 	}
--- a/internal/traffic/front/front.go
+++ b/internal/traffic/front/front.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 
+	"github.com/agatespindle/agatespindle/internal/base/bounds"
 	"github.com/agatespindle/agatespindle/internal/base/logs"
 	"github.com/agatespindle/agatespindle/internal/base/meter"
 	"github.com/agatespindle/agatespindle/internal/traffic/drain"
@@ -59,6 +61,11 @@
 	AppendAnswer func(b []byte, a flow.Answer) []byte
 	// AppendStartupAnswer appends the encoded answer to a startup message.
 	AppendStartupAnswer func(b []byte, a flow.Answer) []byte
+	// MaxMessage is the size of the longest message in bytes.
+	MaxMessage int
+	// MayEnd, if set, reports whether b, which follows the start of a message, may hold its end. A message
+	// that arrives in many pieces is then parsed only once.
+	MayEnd func(b []byte) bool
 }
 
 const (
@@ -67,6 +74,10 @@
 	DefaultMessageTimeout = 3 * time.Second
 	// DefaultUnreadBytes is the default for Limits.UnreadBytes: the size of the largest message.
 	DefaultUnreadBytes = 1 << 20
+	// DefaultSessionBytes is the default for Limits.SessionBytes: two of the largest messages.
+	DefaultSessionBytes = 2 << 20
+	// DefaultSessionValues is the default for Limits.SessionValues. Setting one copies the list of all.
+	DefaultSessionValues = 1000
 )
 
 // Limits protect the host against callers that send slowly, do not read answers or connect in large
@@ -80,6 +91,10 @@
 	// UnreadBytes is how many bytes of answers may be buffered before the caller's next message is
 	// handled. A caller that sends one and reads nothing for readTimeout is disconnected.
 	UnreadBytes int
+	// SessionBytes is how many bytes the values and prepared statements of a session may take.
+	SessionBytes int
+	// SessionValues is how many values a session may have.
+	SessionValues int
 }
 
 // Server accepts caller connections. The exported fields are set before Run.
@@ -106,6 +121,8 @@
 	DrainDelay time.Duration
 	// Limits are the limits per caller and for all callers together.
 	Limits Limits
+	// Memory bounds what callers hold; nil means no bound.
+	Memory *bounds.Budget
 	// TransactionLimit is how long after the start of a drain open transactions may continue.
 	TransactionLimit time.Duration
 
@@ -131,7 +148,7 @@
 	failed := make(chan error, 1)
 	done := make(chan error, 1)
 	go func() {
-		err := gnet.Run(s, "tcp://"+s.Addr, gnet.WithNumEventLoop(1), gnet.WithReuseAddr(true),
+		err := gnet.Run(s, "tcp://"+s.Addr, gnet.WithNumEventLoop(1), gnet.WithReuseAddr(true), gnet.WithReusePort(true),
 			gnet.WithTCPNoDelay(gnet.TCPNoDelay), gnet.WithLogger(logs.EngineLogger{Log: s.Log}))
 		failed <- err
 		s.wg.Wait()
@@ -153,15 +170,32 @@
 // OnBoot implements gnet.EventHandler.
 func (s *Server) OnBoot(e gnet.Engine) gnet.Action {
 	s.engine = e
+	s.keepPort(e)
 	close(s.started)
 	return gnet.None
 }
 
+// keepPort makes sure that no other process listens on the port. The engine is told to share it only so that
+// it accepts connections in the event loop, one at a time: elsewhere it accepts all that wait, before any of
+// them can be refused, and it ends when the process has no descriptor left.
+func (s *Server) keepPort(e gnet.Engine) {
+	fd, err := e.Dup()
+	if err == nil {
+		err = errors.Join(unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 0), unix.Close(fd))
+	}
+	if err != nil {
+		s.Log.WithField("error", err.Error()).Error("port of callers stays shared")
+	}
+}
+
 // OnOpen implements gnet.EventHandler.
 func (s *Server) OnOpen(c gnet.Conn) ([]byte, gnet.Action) {
 	cl := &caller{srv: s, conn: c, connectedAt: s.Now()}
 	if reason := s.admit(cl); reason != "" {
 		s.Meter.AddCounter("refused."+reason, 1)
+		if reason == reasonTooMany {
+			s.makeRoom(cl.connectedAt)
+		}
 		return s.Codec.AppendStartupAnswer(nil, flow.ErrorAnswer(flow.Busy, flow.Idle, "host takes no more callers: "+reason)), gnet.Close
 	}
 	c.SetContext(cl)
@@ -169,6 +203,9 @@
 	return nil, gnet.None
 }
 
+// reasonTooMany is the reason why a connection beyond Limits.Callers is refused.
+const reasonTooMany = "toomanycallers"
+
 // admit registers a connection, or returns the reason why it is refused.
 func (s *Server) admit(cl *caller) string {
 	s.mu.Lock()
@@ -177,8 +214,9 @@
 	case s.drained:
 		return "stopping"
 	case s.Limits.Callers > 0 && len(s.callers) >= s.Limits.Callers:
-		return "toomanycallers"
+		return reasonTooMany
 	}
+	cl.claim = s.Memory.Open(cl.wake)
 	s.callers[cl] = struct{}{}
 	return ""
 }
--- a/internal/traffic/front/front_test.go
+++ b/internal/traffic/front/front_test.go
@@ -39,9 +39,8 @@
 	shed *atomic.Bool
 }
 
-// startHost starts a host on a free port with one declared database, "stock", after applying changes.
-func startHost(t *testing.T, changes ...func(*front.Server)) testHost {
-	t.Helper()
+// newServer returns a server with one declared database, "stock", and no instance, after applying changes.
+func newServer(addr string, changes ...func(*front.Server)) *front.Server {
 	a := &agent.Agent{Peers: []conf.Peer{{LinkAddr: "127.0.0.1:1"}}, Log: logs.Discard(), Meter: meter.New(), Now: clock.Monotonic}
 	a.Prepare()
 	topology := &topo.Topology{Agent: a, Log: logs.Discard(), Meter: meter.New(), Now: clock.Monotonic, NewPool: func(_, _, _ string, _ bool, _ int) *pool.Pool { return nil }}
@@ -49,15 +48,22 @@
 	m := spec.Manifest{Number: 1, Groups: []spec.ManifestGroup{{Name: "g"}}, Databases: []spec.Database{{Name: "stock", Group: "g", Consistency: spec.StrongConsistency, StatementTimeout: time.Second}}}
 	a.OnView(agent.NewView(1, []*wire.Resource{{Kind: string(spec.Manifests), Name: spec.CurrentManifest, Version: 1, Revision: 1, Spec: m.Encode()}}))
 	s := &front.Server{
-		Addr: freeAddr(t), Codec: platform.CallerCodec(), Log: logs.Discard(), Meter: meter.New(), Now: clock.Monotonic,
+		Addr: addr, Codec: platform.CallerCodec(), Log: logs.Discard(), Meter: meter.New(), Now: clock.Monotonic,
 		Sessions:       &sess.Manager{Topology: topology, Costs: route.DefaultCosts(), Log: logs.Discard(), LogBudget: sess.NewLogBudget(), Meter: meter.New(), Now: clock.Monotonic},
 		CanOpenSession: func(time.Time) bool { return true },
 	}
-	shed := &atomic.Bool{}
-	s.ShedCallers = func(time.Time) bool { return shed.Load() }
 	for _, change := range changes {
 		change(s)
 	}
+	return s
+}
+
+// startHost starts a host on a free port with one declared database, "stock", after applying changes.
+func startHost(t *testing.T, changes ...func(*front.Server)) testHost {
+	t.Helper()
+	shed := &atomic.Bool{}
+	sheds := func(s *front.Server) { s.ShedCallers = func(time.Time) bool { return shed.Load() } }
+	s := newServer(freeAddr(t), append([]func(*front.Server){sheds}, changes...)...)
 	ctx, cancel := context.WithCancel(context.Background())
 	done, err := s.Run(ctx)
 	if err != nil {
@@ -69,7 +75,7 @@
 	}, shed}
 }
 
-func freeAddr(t *testing.T) string {
+func freeAddr(t testing.TB) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/traffic/lend/borrower.go
+++ b/internal/traffic/lend/borrower.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/agatespindle/agatespindle/internal/base/bounds"
 	"github.com/agatespindle/agatespindle/internal/base/link"
 	"github.com/agatespindle/agatespindle/internal/base/wire"
 	"github.com/agatespindle/agatespindle/internal/traffic/flow"
@@ -21,6 +22,8 @@
 	Dialer *link.Dialer
 	// Now returns the current time; tests replace it.
 	Now func() time.Time
+	// Memory bounds the large answers that are received; nil means no bound.
+	Memory *bounds.Budget
 
 	mu sync.Mutex
 	// The keys of these maps are host addresses.
@@ -35,6 +38,15 @@
 // errUnresponsive is returned for a host that is avoided because it recently failed to answer.
 var errUnresponsive = errors.New("lender did not answer recently")
 
+// dial opens a stream to a lending host.
+func (b *Borrower) dial(ctx context.Context, addr string) (*link.Conn, error) {
+	c, err := b.Dialer.Open(ctx, addr, Service)
+	if err == nil {
+		c.SetBudget(b.Memory)
+	}
+	return c, err
+}
+
 // Open prepares to borrow a connection to an instance from the host at addr. The lender acquires the
 // connection with the first request, waiting at most waitLimit for a free one; a lower rank is
 // served first. Open fails if no stream to the host can be opened, or if it recently did not answer.
@@ -47,7 +59,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
 		defer cancel()
 		var err error
-		if c, err = b.Dialer.Open(ctx, addr, Service); err != nil {
+		if c, err = b.dial(ctx, addr); err != nil {
 			b.avoid(addr)
 			return nil, err
 		}
@@ -138,7 +150,7 @@
 func (b *Borrower) probe(addr string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
 	defer cancel()
-	c, err := b.Dialer.Open(ctx, addr, Service)
+	c, err := b.dial(ctx, addr)
 	if err != nil {
 		return false
 	}
--- a/internal/traffic/lend/lend.go
+++ b/internal/traffic/lend/lend.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/agatespindle/agatespindle/internal/base/bounds"
 	"github.com/agatespindle/agatespindle/internal/base/clock"
 	"github.com/agatespindle/agatespindle/internal/base/fault"
 	"github.com/agatespindle/agatespindle/internal/base/link"
@@ -29,6 +30,8 @@
 	transitAllowance = 150 * time.Millisecond
 	// minLimit is the least time limit of a request that has waited for a connection.
 	minLimit = 10 * time.Millisecond
+	// maxRequestBytes is the maximum size of a request: the longest statement and the largest session.
+	maxRequestBytes = 8 << 20
 	// maxIdleStreams is the maximum number of idle streams that are kept per lending host.
 	maxIdleStreams = 8
 	// openTimeout limits the opening of a stream.
@@ -58,6 +61,8 @@
 	Meter    *meter.Meter
 	// Now returns the current time; tests replace it.
 	Now func() time.Time
+	// Memory bounds the large requests and answers that are lent; nil means no bound.
+	Memory *bounds.Budget
 	// Withdrawn, if set, reports whether all other hosts know that this host lends no more.
 	Withdrawn func() bool
 
@@ -82,12 +87,18 @@
 	instance string
 	// request is the ID of the last request.
 	request string
+	// claim holds the memory of an answer until it is sent.
+	claim *bounds.Claim
 }
 
 // Serve serves the requests of one stream until the stream ends. It is a link.Handler.
 func (l *Lender) Serve(ctx context.Context, from string, c *link.Conn) {
 	s := &lentStream{lender: l, conn: c, host: from}
 	defer s.rollback()
+	c.SetMaxBytes(maxRequestBytes)
+	c.SetBudget(l.Memory)
+	s.claim = l.Memory.Open(func() {})
+	defer s.claim.Close()
 	for {
 		req := &wire.LendRequest{}
 		if c.Recv(req) != nil || !s.serve(ctx, req) {
@@ -105,6 +116,7 @@
 	now := s.lender.Now()
 	s.lender.begin(now, s)
 	defer s.lender.finish(s)
+	defer s.claim.Force(bounds.Unsent, 0)
 	abandoned := time.Now().Add(replyLimit(req) + transitAllowance)
 	reply := s.answer(ctx, now, req)
 	if err := s.send(reply, abandoned); err != nil {
@@ -260,6 +272,7 @@
 func (s *lentStream) run(limit time.Duration, req *wire.LendRequest, reply *wire.LendReply) bool {
 	start := time.Now()
 	a, stage, err := s.handle.Run(limit, flow.ValuesOf(req.Values), requestFromWire(req.Question), req.Last)
+	s.claim.Force(bounds.Unsent, answerBytes(a))
 	reply.Took = int64(time.Since(start))
 	reply.Stage = uint32(stage)
 	if err != nil {
@@ -279,6 +292,15 @@
 	return true
 }
 
+// answerBytes returns the number of bytes that an answer takes until it is sent, as read and encoded.
+func answerBytes(a flow.Answer) int64 {
+	n := 0
+	for _, row := range a.Rows {
+		n += len(row)
+	}
+	return int64(2 * n)
+}
+
 // returnsConnection reports whether the connection returns to the lender after an answer. Lender and
 // borrower must agree, so both use this function.
 func returnsConnection(last bool, a flow.Answer) bool { return last && a.State == flow.Idle }
--- a/internal/traffic/pool/conn.go
+++ b/internal/traffic/pool/conn.go
@@ -50,6 +50,10 @@
 	buf []byte
 	// values are the session values currently set on the connection.
 	values flow.Values
+	// preparedBytes is the size of the statements that are prepared on the connection.
+	preparedBytes int
+	// stale is set if the instance keeps values or statements that are no longer known here.
+	stale bool
 	// preparedNames holds the name of each statement prepared on the connection.
 	preparedNames map[preparedKey]string
 	idleSince     time.Time
@@ -72,6 +76,7 @@
 // error code in an earlier answer is returned as an error. After any error the connection must be
 // closed.
 func (c *Conn) roundTrip(timeout time.Duration, reqs ...flow.Request) (flow.Answer, flow.Stage, error) {
+	c.startAnswer()
 	c.buf = c.buf[:0]
 	for _, req := range reqs {
 		c.buf = c.pool.Codec.AppendRequest(c.buf, req)
@@ -122,13 +127,13 @@
 // applyValues sets the session values of the connection to want. If the connection has other
 // values, it is reset first, which also drops its prepared statements.
 func (c *Conn) applyValues(timeout time.Duration, want flow.Values) error {
-	if c.values.Equal(want) {
+	if !c.stale && c.values.Equal(want) {
 		return nil
 	}
 	var reqs []flow.Request
-	if !c.values.Empty() {
+	if c.stale || !c.values.Empty() {
 		reqs = append(reqs, flow.Request{Op: flow.ResetSession})
-		c.preparedNames = nil
+		c.preparedNames, c.preparedBytes = nil, 0
 	}
 	want.Each(func(name, value string) {
 		reqs = append(reqs, flow.Request{Op: flow.SetValue, Name: name, Value: value})
@@ -140,7 +145,7 @@
 	if a.Code != flow.OK {
 		return errors.New("session values refused: " + a.Code.String())
 	}
-	c.values = want
+	c.values, c.stale = want, false
 	return nil
 }
 
@@ -156,6 +161,7 @@
 	}
 	name := "p" + itoa(len(c.preparedNames))
 	c.preparedNames[key] = name
+	c.preparedBytes += len(stmt)
 	return name, []flow.Request{{Op: flow.PrepareStatement, Name: name, Template: stmt, Writes: writes}}
 }
 
@@ -180,6 +186,9 @@
 // runAdmitted runs a request that has been admitted. A position query runs as an empty transaction
 // that may write, which only the primary opens.
 func (c *Conn) runAdmitted(timeout time.Duration, values flow.Values, req flow.Request) (flow.Answer, flow.Stage, error) {
+	if c.lacksMemory(req.Op) {
+		return c.pool.overloaded(c.state()), flow.Answered, nil
+	}
 	if !c.inTransaction {
 		if a, withheld := c.pool.withhold(); withheld {
 			return a, flow.Answered, nil
@@ -223,10 +232,14 @@
 }
 
 // healthy reports whether an idle connection is still open and has received no unexpected data.
-func (c *Conn) healthy() bool { return c.r.Buffered() == 0 && adapt.Idle(c.raw) }
+func (c *Conn) healthy() bool { return c.r.Buffered() == 0 && adapt.Idle(c.network()) }
 
 // Close closes the connection and removes it from the pool.
 func (c *Conn) Close() { c.pool.discard(c) }
 
 // Release returns the connection to the pool.
-func (c *Conn) Release() { c.pool.putBack(c) }
+func (c *Conn) Release() {
+	c.forget()
+	c.startAnswer()
+	c.pool.putBack(c)
+}
--- a/internal/traffic/pool/dial.go
+++ b/internal/traffic/pool/dial.go
@@ -57,6 +57,7 @@
 		return nil, flow.OK, err
 	}
 	setTCPOptions(raw)
+	raw = p.meter(raw)
 	c := &Conn{raw: raw, r: bufio.NewReaderSize(raw, readBufferSize), pool: p}
 	_ = raw.SetDeadline(time.Now().Add(dialTimeout))
 	if _, err = raw.Write(p.Codec.AppendStartup(nil, p.Group, "", p.Instance)); err != nil {
--- a/internal/traffic/pool/pool.go
+++ b/internal/traffic/pool/pool.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/agatespindle/agatespindle/internal/base/bounds"
 	"github.com/agatespindle/agatespindle/internal/base/fault"
 	"github.com/agatespindle/agatespindle/internal/base/logs"
 	"github.com/agatespindle/agatespindle/internal/base/meter"
@@ -69,8 +70,10 @@
 	// Slots is the number of statements that the instance runs at once.
 	Slots int
 	Codec flow.Codec
-	Log   *logs.Logger
-	Meter *meter.Meter
+	// Memory bounds the large answers that are read; nil means no bound.
+	Memory *bounds.Budget
+	Log    *logs.Logger
+	Meter  *meter.Meter
 	// Dial opens a network connection; tests replace it.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 	// Now returns the current time; tests replace it.
