--- a/internal/traffic/pool/dial.go
+++ b/internal/traffic/pool/dial.go
@@ -84,6 +84,7 @@
 		return nil, flow.OK, err
 	}
 	setTCPOptions(raw)
+	raw = p.meter(raw)
 	c := &Conn{raw: raw, r: bufio.NewReaderSize(raw, readBufferSize), pool: p, account: account}
 	_ = raw.SetDeadline(time.Now().Add(dialTimeout))
 	if _, err = raw.Write(p.Codec.AppendStartup(nil, p.Group, account, p.Instance)); err != nil {
