link: Count sessions and streams of other hosts over sessions that end their streams

A session that bounds close now goes through the same end as any other. Measured: tests of link, front, pool, lend, platform and leader pass.

--- a/internal/base/link/bound.go
+++ b/internal/base/link/bound.go
@@ -79,7 +79,7 @@
 
 // shrink drops the buffer for receiving of the stream after a message of n bytes, if that was large.
 func (c *Conn) shrink(n int) {
-	if s, ok := any(c.raw).(interface{ Shrink() }); ok && n > keptBytes {
-		s.Shrink()
+	if n > keptBytes {
+		c.raw.raw.Shrink()
 	}
 }
--- a/internal/base/link/link.go
+++ b/internal/base/link/link.go
@@ -253,7 +253,7 @@
 			return
 		}
 		if !s.peers.begin(s.MaxStreams) {
-			stream.Close()
+			raw.Close()
 			continue
 		}
 		s.wg.Add(1)
--- a/internal/base/link/peers.go
+++ b/internal/base/link/peers.go
@@ -8,25 +8,19 @@
 // peers bounds the sessions and streams that other hosts open.
 type peers struct {
 	mu      sync.Mutex
-	opened  map[muxer]time.Time
+	opened  map[*muxSession]time.Time
 	streams int
 }
 
-// muxer is a session of another host.
-type muxer interface {
-	NumStreams() int
-	Close() error
-}
-
 // add records a session. If there are limit already, the one that has been without a stream for longest is
 // closed: a host that is one keeps streams open. It returns false if all have streams; zero means no limit.
-func (p *peers) add(now time.Time, session muxer, limit int) bool {
+func (p *peers) add(now time.Time, session *muxSession, limit int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if limit > 0 && len(p.opened) >= limit {
-		var oldest muxer
+		var oldest *muxSession
 		for other, since := range p.opened {
-			if other.NumStreams() == 0 && (oldest == nil || since.Before(p.opened[oldest])) {
+			if other.mux.NumStreams() == 0 && (oldest == nil || since.Before(p.opened[oldest])) {
 				oldest = other
 			}
 		}
@@ -37,14 +31,14 @@
 		go oldest.Close()
 	}
 	if p.opened == nil {
-		p.opened = map[muxer]time.Time{}
+		p.opened = map[*muxSession]time.Time{}
 	}
 	p.opened[session] = now
 	return true
 }
 
 // remove forgets a session.
-func (p *peers) remove(session muxer) {
+func (p *peers) remove(session *muxSession) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.opened, session)
