httpd, platform, crowd: Bound what clients of the control API hold

Cause: each declaration might be 16 MiB, with no bound on how many at once; connections were not bounded, so that a crowd took all descriptors of a host, those for instances and hosts too.

--- a/internal/tools/node/control.go
+++ b/internal/tools/node/control.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"time"
 
+	"github.com/agatespindle/agatespindle/internal/base/bounds"
 	"github.com/agatespindle/agatespindle/internal/base/clock"
 	"github.com/agatespindle/agatespindle/internal/base/fault"
 	"github.com/agatespindle/agatespindle/internal/base/kernel"
@@ -80,6 +81,7 @@
 	}
 	c.leader.Prepare()
 	c.api = &platform.ControlAPI{Intake: &intake.Forwarder{Agent: n.Agent, Log: n.Log, Meter: n.Meter}, Log: n.Log, Meter: n.Meter}
+	c.api.Bodies.Budget = n.apiMemory()
 	n.links.Handlers[driver.QuorumService] = c.driver.Serve
 	n.links.Handlers[driver.IdentityService] = c.driver.ServeIdentity
 	n.links.Handlers[leader.LeaseService] = c.leader.ServeLease
@@ -92,6 +94,19 @@
 	return nil
 }
 
+// apiShare is what each request of the control API may hold when others have used up the memory for them, in
+// bytes: an ordinary heartbeat.
+const apiShare = 64 << 10
+
+// apiMemory returns the budget of memory for requests of the control API, or nil if the settings give no limit.
+func (n *Node) apiMemory() *bounds.Budget {
+	total := bounds.BudgetFor(n.cfg.MemoryLimit())
+	if total == 0 {
+		return nil
+	}
+	return &bounds.Budget{Total: total, Share: apiShare, Meter: n.Meter, Name: "memory.api"}
+}
+
 // leaveDeadline returns the time from which an instance that leaves gets no new requests, as far as this
 // host can tell.
 func (n *Node) leaveDeadline(name string, born int64) time.Time {
