--- a/internal/traffic/even/place.go
+++ b/internal/traffic/even/place.go
@@ -61,9 +61,10 @@
 	// one that was slow is tried again.
 	serviceMemory = 2 * time.Second
 	// slowFactor is how many times the typical service time an instance must need to count as slower. The
-	// reported means are moving ones over few requests, which differ by a quarter among equal instances;
-	// if hosts went by that, most would choose the same.
-	slowFactor = 2
+	// reported means are moving ones over eight requests. They differ by a quarter among equal instances,
+	// and one statement that is eleven times as long as the others doubles them; if hosts went by that,
+	// most would choose the same.
+	slowFactor = 3
 	// maxMoves is how often a request is declined before it waits where the least work is. Each takes a
 	// round trip between hosts; the third choice helps little after the second.
 	maxMoves = 3
--- a/internal/traffic/topo/load.go
+++ b/internal/traffic/topo/load.go
@@ -36,28 +36,41 @@
 // RecordAnswer records that the instance answered a request, whatever with, and did not fail it.
 func (m *Member) RecordAnswer(now time.Time) { m.state.view.Judge(now, false) }
 
-// avoidance is why an instance gets fewer requests than its peers, since a time.
+// avoidance is why an instance gets fewer requests than its peers.
 type avoidance struct {
-	mu     sync.Mutex
+	mu sync.Mutex
+	// reason is the one that was logged last.
 	reason string
-	since  time.Time
+	// next is a reason other than reason that has held since the time since.
+	next  string
+	since time.Time
 }
 
-// minAvoidancePeriod is the least time between two changes that are logged: what is known of an instance
-// may be close to a limit.
+// minAvoidancePeriod is how long a reason must hold before it is logged: what is known of an instance may be
+// close to a limit.
 const minAvoidancePeriod = time.Second
 
-// RecordAvoidance logs and counts that the instance begins to get fewer requests than its peers, or gets
-// its share again.
-func (m *Member) RecordAvoidance(now time.Time, a even.Avoidance) {
-	current := &m.state.avoidance
-	current.mu.Lock()
-	changed := a.Reason != current.reason && now.Sub(current.since) >= minAvoidancePeriod
-	before := current.reason
-	if changed {
-		current.reason, current.since = a.Reason, now
+// observe reports whether a reason is new and has held for minAvoidancePeriod, and returns the one before.
+func (a *avoidance) observe(now time.Time, reason string) (before string, changed bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	before = a.reason
+	switch {
+	case reason == a.reason:
+		a.since = time.Time{}
+	case a.since.IsZero() || reason != a.next:
+		a.next, a.since = reason, now
+	case now.Sub(a.since) >= minAvoidancePeriod:
+		a.reason, a.since = reason, time.Time{}
+		return before, true
 	}
-	current.mu.Unlock()
+	return before, false
+}
+
+// RecordAvoidance logs and counts that the instance has got fewer requests than its peers for
+// minAvoidancePeriod, or its share again for as long.
+func (m *Member) RecordAvoidance(now time.Time, a even.Avoidance) {
+	before, changed := m.state.avoidance.observe(now, a.Reason)
 	if !changed {
 		return
 	}
