--- a/internal/traffic/pool/account.go
+++ b/internal/traffic/pool/account.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"errors"
+	"net"
 	"time"
 
 	"github.com/agatespindle/agatespindle/internal/traffic/keep"
@@ -70,6 +72,15 @@
 	return list
 }
 
+// answersSince reports whether an attempt to open a connection, begun at started, timed out although the instance
+// has answered on another one since, as when the packet that opens a connection is lost. The attempt then shows
+// nothing about the instance. Where connections belong to accounts, they are opened so often that such losses
+// would make it count as unreachable over and over. The caller holds mu.
+func (p *Pool) answersSince(started time.Time, err error) bool {
+	var timeout net.Error
+	return p.accounts && errors.As(err, &timeout) && timeout.Timeout() && p.lastAnswer.After(started)
+}
+
 // use records that a connection is used by a request. The caller holds mu.
 func (p *Pool) use(now time.Time, c *Conn, prio Priority) {
 	if c.account == "" {
--- a/internal/traffic/pool/account_test.go
+++ b/internal/traffic/pool/account_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -203,3 +205,45 @@
 		})
 	})
 }
+
+// TestLostOpeningIsNoOutage covers a link that loses packets: the one that opens a connection is sent again only
+// after a second.
+func TestLostOpeningIsNoOutage(t *testing.T) {
+	Convey("Given an instance that answers one account", t, func() {
+		_, in, dial, _ := startInstance(t)
+		var lose atomic.Bool
+		p := newPool(in, func(ctx context.Context, addr string) (net.Conn, error) {
+			if lose.Swap(false) {
+				<-ctx.Done()
+				return nil, &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}
+			}
+			return dial(ctx, addr)
+		})
+		defer p.Shutdown()
+		So(runFor(p, "a", "a0"), ShouldEqual, flow.OK)
+		lose.Store(true)
+		Convey("An opening for another account that is lost is tried again, and the instance stays reachable", func() {
+			stop, stopped := make(chan struct{}), make(chan struct{})
+			go func() {
+				defer close(stopped)
+				for i := 1; ; i++ {
+					select {
+					case <-stop:
+						return
+					default:
+						if c, err := p.Get(context.Background(), time.Second, pool.Priority{Database: "d", Account: "a"}); err == nil {
+							_, _, _ = c.Run(time.Second, flow.Values{}, flow.Request{ID: fmt.Sprint("a", i), Text: "READ x"}, true)
+							c.Release()
+						}
+					}
+				}
+			}()
+			So(runFor(p, "b", "b0"), ShouldEqual, flow.OK)
+			close(stop)
+			<-stopped
+			So(p.Meter.CounterValue("connections.timedout"), ShouldEqual, 1)
+			So(p.Meter.CounterValue("connections.failed"), ShouldEqual, 0)
+			So(p.Down(), ShouldBeFalse)
+		})
+	})
+}
--- a/internal/traffic/pool/dial.go
+++ b/internal/traffic/pool/dial.go
@@ -52,6 +52,7 @@
 
 // dial opens a connection of an account for the first waiter that it serves, or as an idle one.
 func (p *Pool) dial(account string) {
+	started := p.Now()
 	c, code, err := p.connect(account)
 	now := p.Now()
 	p.mu.Lock()
@@ -61,6 +62,9 @@
 		delete(p.dialingFor, account)
 	}
 	switch {
+	case err != nil && p.answersSince(started, err):
+		p.Meter.AddCounter("connections.timedout", 1)
+		p.dialForWaiting(now)
 	case err != nil:
 		p.markUnreachable(now, err)
 	case code != flow.OK:
