--- a/internal/traffic/pool/account_test.go
+++ b/internal/traffic/pool/account_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -172,3 +174,76 @@
 		})
 	})
 }
+
+// TestStandbyTakesOver covers a standby lender whose first lender freezes: its own share is small, and closing a
+// connection for each request of another account would turn slots into handshakes.
+func TestStandbyTakesOver(t *testing.T) {
+	Convey("Given a standby with a share of three and a reserve of ten, and eight accounts", t, func() {
+		_, in, dial, opened := startInstance(t)
+		var later atomic.Int64
+		later.Store(int64(time.Minute))
+		p := newPool(in, dial)
+		p.Now = func() time.Time { return clock.Monotonic().Add(time.Duration(later.Load())) }
+		p.SetConnLimits(30, 3)
+		p.SetReserve(10)
+		later.Store(int64(2 * time.Minute))
+		defer p.Shutdown()
+		for round := range 3 {
+			for i := range 8 {
+				So(runFor(p, fmt.Sprint("a", i), fmt.Sprint(round, "-", i)), ShouldEqual, flow.OK)
+			}
+		}
+		Convey("It opens one for each account and keeps them while they are used", func() {
+			So(opened.Load(), ShouldEqual, 8)
+			Convey("When the first lender is back, it gives up all beyond its share", func() {
+				p.Maintain(p.Now().Add(4 * time.Second))
+				for end := time.Now().Add(5 * time.Second); in.Conns() > 3 && time.Now().Before(end); {
+					time.Sleep(time.Millisecond)
+				}
+				So(in.Conns(), ShouldEqual, 3)
+			})
+		})
+	})
+}
+
+// TestLostOpeningIsNoOutage covers a link that loses packets: the one that opens a connection is sent again only
+// after a second.
+func TestLostOpeningIsNoOutage(t *testing.T) {
+	Convey("Given an instance that answers one account", t, func() {
+		_, in, dial, _ := startInstance(t)
+		var lose atomic.Bool
+		p := newPool(in, func(ctx context.Context, addr string) (net.Conn, error) {
+			if lose.Swap(false) {
+				<-ctx.Done()
+				return nil, &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}
+			}
+			return dial(ctx, addr)
+		})
+		defer p.Shutdown()
+		So(runFor(p, "a", "a0"), ShouldEqual, flow.OK)
+		lose.Store(true)
+		Convey("An opening for another account that is lost is tried again, and the instance stays reachable", func() {
+			stop, stopped := make(chan struct{}), make(chan struct{})
+			go func() {
+				defer close(stopped)
+				for i := 1; ; i++ {
+					select {
+					case <-stop:
+						return
+					default:
+						if c, err := p.Get(context.Background(), time.Second, pool.Priority{Database: "d", Account: "a"}); err == nil {
+							_, _, _ = c.Run(time.Second, flow.Values{}, flow.Request{ID: fmt.Sprint("a", i), Text: "READ x"}, true)
+							c.Release()
+						}
+					}
+				}
+			}()
+			So(runFor(p, "b", "b0"), ShouldEqual, flow.OK)
+			close(stop)
+			<-stopped
+			So(p.Meter.CounterValue("connections.timedout"), ShouldEqual, 1)
+			So(p.Meter.CounterValue("connections.failed"), ShouldEqual, 0)
+			So(p.Down(), ShouldBeFalse)
+		})
+	})
+}
