--- a/internal/control/share/holder.go
+++ b/internal/control/share/holder.go
@@ -97,7 +97,7 @@
 type Refusals struct {
 	Account string
 	// Limited and NoShare count the refusals with these results since the last summary, and Admitted the
-	// operations that were admitted in Elapsed, the time since then.
+	// operations that were admitted in Elapsed, the time since then, which is 0 in the first summary.
 	Limited, NoShare, Admitted int64
 	Elapsed                    time.Duration
 	// Rate and Demand are what the host's share allows and what it is asked for, in operations per second.
@@ -196,7 +196,9 @@
 		return
 	}
 	a.refusals.Account, a.refusals.Rate, a.refusals.Demand, a.refusals.Share = name, a.bucket.rate, a.demand, a.share
-	a.refusals.Elapsed = now.Sub(a.summarizedAt)
+	if !a.summarizedAt.IsZero() {
+		a.refusals.Elapsed = now.Sub(a.summarizedAt)
+	}
 	h.OnRefused(a.refusals)
 	a.refusals, a.summarizedAt = Refusals{}, now
 }
