--- a/internal/control/share/holder.go
+++ b/internal/control/share/holder.go
@@ -88,6 +88,8 @@
 	reportedAt    time.Time
 	// returned are the tokens given up with parts of the share since the last report.
 	returned float64
+	// refusedTotal is the number of refusals since the host started.
+	refusedTotal int
 	// refusals counts the refusals since they were last summarized, at summarizedAt.
 	refusals     Refusals
 	summarizedAt time.Time
@@ -187,6 +189,7 @@
 
 // countRefusal counts a refusal, and passes on a summary if one is due. The caller holds mu.
 func (h *Holder) countRefusal(now time.Time, name string, a *account, result Result) {
+	a.refusedTotal++
 	if result == Limited {
 		a.refusals.Limited++
 	} else {
@@ -268,6 +271,17 @@
 	return 0
 }
 
+// CountRefusals adds the numbers of operations refused since the start of the host to counts, by account.
+func (h *Holder) CountRefusals(counts map[string]int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for name, a := range h.accounts {
+		if a.refusedTotal > 0 {
+			counts[name] += a.refusedTotal
+		}
+	}
+}
+
 // Report returns the report for the renewal with the sequence number seq, or nil if no accounts are
 // declared.
 func (h *Holder) Report(now time.Time, seq uint64) *wire.ShareReport {
--- a/internal/traffic/topo/limited.go
+++ b/internal/traffic/topo/limited.go
@@ -62,3 +62,26 @@
 	claim.Settle(t.Now(), h.admitted)
 	return a, stage, err
 }
+
+// limitMetricPrefix is the prefix of the gauges of operations refused because of a client account's limit.
+const limitMetricPrefix = "limits.refused.account."
+
+// reportLimits sets the gauges of the operations that this host refused, for the accounts with the most.
+func (t *Topology) reportLimits(now time.Time) {
+	if t.Shares == nil || now.Sub(t.limitsReportedAt) < accountMetricsInterval {
+		return
+	}
+	t.limitsReportedAt = now
+	counts := map[string]int{}
+	t.Shares.CountRefusals(counts)
+	shown := LargestAccounts(counts, namedAccounts)
+	for name := range t.limitMetrics {
+		if _, ok := shown[name]; !ok {
+			t.Meter.RemoveGauge(limitMetricPrefix + name)
+		}
+	}
+	t.limitMetrics = shown
+	for name, n := range shown {
+		t.Meter.SetGauge(limitMetricPrefix+name, int64(n))
+	}
+}
--- a/internal/traffic/topo/topology.go
+++ b/internal/traffic/topo/topology.go
@@ -89,6 +89,9 @@
 	// them.
 	accountMetrics     map[string]int
 	accountsReportedAt time.Time
+	// limitMetrics are the gauges of refused operations by account, last set at limitsReportedAt.
+	limitMetrics     map[string]int
+	limitsReportedAt time.Time
 	// chosenLenders are the lenders of lentInstances, chosen from lenderCandidates.
 	chosenLenders    map[string][]place.Lender
 	lentInstances    []place.Instance
@@ -264,6 +267,7 @@
 		}
 	}
 	t.reportAccounts(now)
+	t.reportLimits(now)
 	if t.primaryHealthChanged(now) {
 		t.Agent.RenewNow()
 	}
