link: End the connection of a peer with most streams

Cause: streams beyond the bound were closed one at a time, but yamux keeps a closed stream until the peer closes it too. Change: streams are counted with those; the connection that has most is closed.

--- a/internal/base/link/link.go
+++ b/internal/base/link/link.go
@@ -281,7 +281,7 @@
 		if err != nil {
 			return
 		}
-		if !s.peers.begin(s.MaxStreams) {
+		if !s.peers.hasRoom(session, s.MaxStreams) {
 			stream.Close()
 			continue
 		}
@@ -292,7 +292,6 @@
 
 func (s *Server) serveStream(ctx context.Context, raw net.Conn) {
 	defer s.wg.Done()
-	defer s.peers.end()
 	defer raw.Close()
 	c := newConn(raw)
 	raw.SetDeadline(time.Now().Add(helloTimeout))
--- a/internal/base/link/peers.go
+++ b/internal/base/link/peers.go
@@ -7,9 +7,8 @@
 
 // peers bounds the sessions and streams that other hosts open.
 type peers struct {
-	mu      sync.Mutex
-	opened  map[muxer]time.Time
-	streams int
+	mu     sync.Mutex
+	opened map[muxer]time.Time
 }
 
 // muxer is a session of another host.
@@ -50,20 +49,26 @@
 	delete(p.opened, session)
 }
 
-// begin counts a stream. It returns false if there are limit already; zero means no limit.
-func (p *peers) begin(limit int) bool {
+// hasRoom is called for a new stream of a session. If all sessions together have more than limit, the one that
+// has most is closed. It returns false if that is this session, or if it was closed before; zero means no limit.
+func (p *peers) hasRoom(session muxer, limit int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if limit > 0 && p.streams >= limit {
-		return false
+	if limit == 0 {
+		return true
 	}
-	p.streams++
-	return true
-}
-
-// end ends a stream that begin has counted.
-func (p *peers) end() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.streams--
+	var largest muxer
+	total, most := 0, 0
+	for other := range p.opened {
+		n := other.NumStreams()
+		if total += n; largest == nil || n > most {
+			largest, most = other, n
+		}
+	}
+	if total > limit {
+		delete(p.opened, largest)
+		go largest.Close()
+	}
+	_, ok := p.opened[session]
+	return ok
 }
