--- a/internal/backend/mimic/instance.go
+++ b/internal/backend/mimic/instance.go
@@ -196,8 +196,10 @@
 
 // session is the protocol state of one client connection.
 type session struct {
-	in       *Instance
-	w        *bufio.Writer
+	in *Instance
+	w  *bufio.Writer
+	// account is the account that the startup named.
+	account  string
 	inTx     bool
 	readOnly bool
 	txFailed bool
@@ -219,11 +221,14 @@
 		s.writeLine("ERR WRONGNODE %s", in.Name)
 		return
 	}
+	s.account = fields[2]
+	in.group.recordStartup(in.Name, s.account)
 	if !in.register(c) {
 		s.writeLine("ERR MAXCONN %s", in.Name)
 		return
 	}
 	defer in.unregister(c)
+	in.occupySlot(in.group.OpeningTime)
 	in.group.mu.Lock()
 	s.writeReady()
 	in.group.mu.Unlock()
@@ -237,7 +242,7 @@
 			return
 		}
 		s.recordArrival(fields[1], fields[2])
-		run := in.group.startRun(in.Name, fields[1], time.Now())
+		run := in.group.startRun(in.Name, s.account, fields[1], time.Now())
 		answered := s.admitQuery(fields[1], fields[2])
 		in.group.endRun(fields[1], run, answered, time.Now())
 		if !answered {
@@ -327,6 +332,18 @@
 	return s.execute(id, text)
 }
 
+// occupySlot occupies a slot for a time, once one is free.
+func (in *Instance) occupySlot(d time.Duration) {
+	if in.slots == nil || d == 0 {
+		return
+	}
+	in.slots <- struct{}{}
+	start := time.Now()
+	time.Sleep(d)
+	in.slotNanos.Add(int64(time.Since(start)))
+	<-in.slots
+}
+
 // refuseBusy answers a statement with BUSY because no slot is free.
 func (s *session) refuseBusy() bool {
 	s.in.refused.Add(1)
--- a/internal/traffic/lend/lend.go
+++ b/internal/traffic/lend/lend.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/agatespindle/agatespindle/internal/base/bounds"
@@ -74,6 +76,8 @@
 	schedule drain.Schedule
 	// arrivedAt is when the last request arrived.
 	arrivedAt time.Time
+	// loadVersion is the version of the last report of an instance's load.
+	loadVersion atomic.Uint64
 }
 
 // lentStream is the lender's side of a stream. It lends at most one connection at a time.
@@ -85,6 +89,9 @@
 	// handle is the lent connection to instance, or nil.
 	handle   pool.Handle
 	instance string
+	// member is the instance of the last request, nil if it is not known, and database its database.
+	member   *topo.Member
+	database string
 	// request is the ID of the last request.
 	request string
 	// claim holds the memory of an answer until it is sent.
@@ -119,6 +126,7 @@
 	defer s.claim.Force(bounds.Unsent, 0)
 	abandoned := time.Now().Add(replyLimit(req) + transitAllowance)
 	reply := s.answer(ctx, now, req)
+	reply.Load = s.load()
 	if err := s.send(reply, abandoned); err != nil {
 		s.logCut("borrower", err)
 		return false
@@ -152,7 +160,11 @@
 		return reply
 	}
 	if s.handle == nil {
-		handle, err := l.open(ctx, req)
+		s.member, s.database = l.findMember(ctx, req), req.Database
+		if req.Movable && s.member != nil && s.member.Busy() {
+			return l.decline(s.member)
+		}
+		handle, err := l.open(ctx, s.member, req)
 		if err != nil {
 			reply.Error = err.Error()
 			return reply
@@ -242,12 +254,11 @@
 }
 
 // open acquires a handle to the requested instance from this host's own pool.
-func (l *Lender) open(ctx context.Context, req *wire.LendRequest) (pool.Handle, error) {
-	m := l.findMember(ctx, req)
+func (l *Lender) open(ctx context.Context, m *topo.Member, req *wire.LendRequest) (pool.Handle, error) {
 	if m == nil {
 		return nil, fault.New(fault.NotRun, fault.NoBackend, "this host does not lend connections to instance %s", req.Instance)
 	}
-	handle, err := m.OpenOwn(ctx, time.Duration(req.Patience), pool.Priority{Rank: int(req.Rank), Database: req.Database})
+	handle, err := m.OpenOwn(ctx, time.Duration(req.Patience), pool.Priority{Rank: int(req.Rank), Database: req.Database, Account: req.Account, MayBeLate: req.Late})
 	if err != nil {
 		return nil, err
 	}
@@ -277,12 +288,15 @@
 	reply.Stage = uint32(stage)
 	if err != nil {
 		s.handle.Close()
-		reply.Error = err.Error()
+		reply.Error, reply.Limited = err.Error(), errors.Is(err, topo.ErrNoShare)
 		return true
 	}
 	if a.Code == flow.Leaving {
 		reply.Leaving, a.Code = true, flow.Overloaded
 	}
+	if a.Code == flow.Limited {
+		reply.Limited, a.Code = true, flow.Overloaded
+	}
 	reply.Rows, reply.Proof, reply.Code, reply.Text, reply.State = a.Rows, a.Proof, uint32(a.Code), a.Text, uint32(a.State)
 	reply.Mark = &wire.LogPosition{Term: a.Position.Term, Number: a.Position.Position}
 	if !returnsConnection(req.Last, a) {
--- a/internal/traffic/pool/admission.go
+++ b/internal/traffic/pool/admission.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/agatespindle/agatespindle/internal/base/fault"
 	"github.com/agatespindle/agatespindle/internal/control/spec"
 	"github.com/agatespindle/agatespindle/internal/traffic/flow"
 	"github.com/agatespindle/agatespindle/internal/traffic/queue"
@@ -45,15 +46,24 @@
 
 // classForRank returns the class of a rank: ranks up to one are urgent.
 func classForRank(rank int) spec.Class {
-	return spec.Class(max(int(spec.Urgent), min(rank-1, int(spec.Report))))
+	return sharedClassForRank(rank - 1)
+}
+
+// sharedClassForRank returns the class of a rank where slots are shared between accounts: each of the first
+// ranks has its own.
+func sharedClassForRank(rank int) spec.Class {
+	return spec.Class(max(int(spec.Urgent), min(rank, int(spec.Report))))
 }
 
 // newTicket returns the ticket of a statement that needs a slot before the deadline. Statements
 // inside a transaction are urgent, since the transaction has already used slots.
 func newTicket(prio Priority, inTransaction bool, deadline time.Time) queue.Ticket {
-	t := queue.Ticket{Class: classForRank(prio.Rank), Caller: prio.Database, Deadline: deadline, InTransaction: inTransaction}
+	t := queue.Ticket{
+		Class: classForRank(prio.Rank), SharedClass: sharedClassForRank(prio.Rank), Caller: prio.Database, Account: prio.Account, Deadline: deadline,
+		InTransaction: inTransaction,
+	}
 	if inTransaction {
-		t.Class = spec.Urgent
+		t.Class, t.SharedClass = spec.Urgent, spec.Urgent
 	}
 	return t
 }
@@ -61,9 +71,11 @@
 // beginTicket returns the ticket for opening a transaction. Opening takes no slot itself, but the
 // statements that follow do. A transaction therefore gets the next lower class and a higher cost:
 // under load, several single statements are served for each transaction of the same rank. Urgent
-// transactions stay in the urgent class at normal cost.
+// transactions stay in the urgent class at normal cost. Where slots are shared between accounts, a transaction is
+// opened in the class of its rank.
 func beginTicket(prio Priority, deadline time.Time) queue.Ticket {
 	t := newTicket(prio, false, deadline)
+	t.Opens = true
 	if t.Class != spec.Urgent {
 		t.Class = min(t.Class+1, spec.Report)
 		t.Cost = assumedTransactionCost
@@ -71,9 +83,10 @@
 	return t
 }
 
-// acquire waits for a slot until the ticket's deadline. It returns false at once if the queue
-// refuses the ticket. If ok, release must be called after the answer.
-func (a *admission) acquire(t queue.Ticket) (release func(), ok bool) {
+// acquire waits for a slot until the ticket's deadline or, if it may be late, as long as it can still have its
+// answer within its limit. If the queue refuses the ticket, it returns the reason at once. Otherwise release must
+// be called after the answer; late is set if the ticket's deadline has passed.
+func (a *admission) acquire(t queue.Ticket) (release func(), late bool, refusal fault.Reason) {
 	ch := make(chan queue.Decision, 1)
 	a.mu.Lock()
 	a.lastID++
@@ -81,16 +94,17 @@
 	a.waiting[t.ID] = ch
 	now := a.now()
 	a.deliver(a.queue.Enqueue(now, t))
-	a.mu.Unlock()
 	release = func() { a.release(t.ID) }
-	timer := time.NewTimer(t.Deadline.Sub(now))
+	latest := a.queue.Latest(t)
+	a.mu.Unlock()
+	timer := time.NewTimer(latest.Sub(now))
 	defer timer.Stop()
 	select {
 	case d := <-ch:
-		return release, d.Reason == ""
+		return release, a.now().After(t.Deadline), d.Reason
 	case <-timer.C:
 		release()
-		return nil, false
+		return nil, false, fault.Deadline
 	}
 }
 
@@ -103,12 +117,19 @@
 	if a == nil || !takesSlot(op) && !opensTransaction(op) {
 		return func() {}, true
 	}
-	release, ok = a.acquire(t)
-	if ok && opensTransaction(op) {
+	release, late, refusal := a.acquire(t)
+	if refusal != "" {
+		p.Meter.AddCounter("slots.refused."+string(refusal), 1)
+		return nil, false
+	}
+	if late {
+		p.Meter.AddCounter("slots.late", 1)
+	}
+	if opensTransaction(op) {
 		release()
 		release = func() {}
 	}
-	return release, ok
+	return release, true
 }
 
 // overloaded returns the answer to a request that got no slot in time and was not sent.
--- a/internal/traffic/pool/dial.go
+++ b/internal/traffic/pool/dial.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/agatespindle/agatespindle/internal/base/fault"
@@ -11,29 +12,59 @@
 
 // dialForWaiting starts to open connections for the waiters, within the limits. The caller holds mu.
 func (p *Pool) dialForWaiting(now time.Time) {
-	for p.dialing < min(len(p.waiting), maxConcurrentDials) && p.open+p.dialing < p.maxConnsNow(now) && !now.Before(p.connLimitUntil) {
-		p.dialing++
-		go p.dial()
+	if len(p.waiting) == 0 || now.Before(p.connLimitUntil) {
+		return
+	}
+	if p.accounts {
+		p.dialForAccounts(now)
+		return
 	}
+	for p.dialing < min(len(p.waiting), maxConcurrentDials) && p.open+p.dialing < p.maxConnsNow(now) {
+		p.startDial("")
+	}
+}
+
+// startDial opens a connection for an account in the background. The caller holds mu.
+func (p *Pool) startDial(account string) {
+	if p.dialingFor == nil {
+		p.dialingFor = map[string]int{}
+	}
+	p.dialing++
+	p.dialingFor[account]++
+	go p.dial(account)
 }
 
 // maxConnsNow returns how many connections this host may currently have: only its share for a
 // period after its start. The caller holds mu.
 func (p *Pool) maxConnsNow(now time.Time) int {
+	limit := p.maxConns
+	if p.accounts && now.Before(p.fullUntil) {
+		limit = min(limit, p.fullAt)
+	}
 	if now.Before(p.shareOnlyUntil) {
-		return min(max(1, p.share), p.maxConns)
+		limit = min(limit, max(1, p.share))
+	}
+	if p.accounts && (now.Before(p.shareOnlyUntil) || now.Before(p.shareGrowsAt)) {
+		limit = min(limit, max(p.Slots+extraInFlight, p.maxConns/2))
 	}
-	return p.maxConns
+	return limit
 }
 
-// dial opens a connection for the first waiter or as an idle one.
-func (p *Pool) dial() {
-	c, code, err := p.connect()
+// dial opens a connection of an account for the first waiter that it serves, or as an idle one.
+func (p *Pool) dial(account string) {
+	started := p.Now()
+	c, code, err := p.connect(account)
 	now := p.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dialing--
+	if p.dialingFor[account]--; p.dialingFor[account] == 0 {
+		delete(p.dialingFor, account)
+	}
 	switch {
+	case err != nil && p.answersSince(started, err):
+		p.Meter.AddCounter("connections.timedout", 1)
+		p.dialForWaiting(now)
 	case err != nil:
 		p.markUnreachable(now, err)
 	case code != flow.OK:
@@ -46,9 +77,9 @@
 	}
 }
 
-// connect opens one connection. If err is nil, a code other than flow.OK is the instance's reason to
+// connect opens one connection of an account, or of the proxy itself if account is empty. If err is nil, a code other than flow.OK is the instance's reason to
 // refuse it.
-func (p *Pool) connect() (*Conn, flow.Code, error) {
+func (p *Pool) connect(account string) (*Conn, flow.Code, error) {
 	p.Meter.AddCounter("connections.opened", 1)
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
@@ -58,9 +89,9 @@
 	}
 	setTCPOptions(raw)
 	raw = p.meter(raw)
-	c := &Conn{raw: raw, r: bufio.NewReaderSize(raw, readBufferSize), pool: p}
+	c := &Conn{raw: raw, r: bufio.NewReaderSize(raw, readBufferSize), pool: p, account: account}
 	_ = raw.SetDeadline(time.Now().Add(dialTimeout))
-	if _, err = raw.Write(p.Codec.AppendStartup(nil, p.Group, "", p.Instance)); err != nil {
+	if _, err = raw.Write(p.Codec.AppendStartup(nil, p.Group, account, p.Instance)); err != nil {
 		raw.Close()
 		return nil, flow.OK, err
 	}
@@ -72,7 +103,7 @@
 	return c, flow.OK, nil
 }
 
-// assign gives a connection to the first waiter. Without waiters it keeps the connection idle, or
+// assign gives a connection to the first waiter that it serves. Without such waiters it keeps the connection idle, or
 // closes it if the host may only use its share and has more. The caller holds mu.
 func (p *Pool) assign(now time.Time, c *Conn) {
 	if p.closed {
@@ -80,9 +111,10 @@
 		p.open--
 		return
 	}
-	if len(p.waiting) > 0 {
-		w := p.waiting[0]
-		p.waiting = p.waiting[1:]
+	if i := slices.IndexFunc(p.waiting, func(w *waiter) bool { return c.serves(w.prio) }); i >= 0 {
+		w := p.waiting[i]
+		p.use(now, c, w.prio)
+		p.waiting = slices.Delete(p.waiting, i, i+1)
 		w.done <- connResult{conn: c}
 		return
 	}
@@ -102,6 +134,7 @@
 	if code == flow.TooMany {
 		p.markReachable(now)
 		p.connLimitUntil = now.Add(connLimitPause)
+		p.fullAt, p.fullUntil = max(1, p.open), now.Add(fullPeriod)
 		if p.open == 0 {
 			p.failWaiters(p.connLimitError())
 		}
@@ -171,7 +204,7 @@
 
 // probeOnce tries to open a connection and reports whether another attempt is needed.
 func (p *Pool) probeOnce() bool {
-	c, code, err := p.connect()
+	c, code, err := p.connect("")
 	now := p.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/traffic/pool/pool.go
+++ b/internal/traffic/pool/pool.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -16,6 +17,7 @@
 	"github.com/agatespindle/agatespindle/internal/base/logs"
 	"github.com/agatespindle/agatespindle/internal/base/meter"
 	"github.com/agatespindle/agatespindle/internal/traffic/flow"
+	"github.com/agatespindle/agatespindle/internal/traffic/keep"
 )
 
 const (
@@ -31,12 +33,21 @@
 	// Slots+extraInFlight ones stay open for good. More aren't kept, since an instance holds the
 	// connections of a host that lost power for 3 s, in addition to the host's new ones.
 	shareIdleTimeout = 2 * time.Second
+	// accountIdleTimeout is how long an idle connection within the share stays open if connections belong
+	// to client accounts.
+	accountIdleTimeout = 30 * time.Second
+	// reserveIdleTimeout is how long an idle connection beyond the share of a standby lender stays open in that
+	// case: the first lender may be back.
+	reserveIdleTimeout = 3 * time.Second
 	// shareOnlyPeriod is how long a host stays within its share after its start. An instance holds
 	// the connections of hosts that lost power for 3 s.
 	shareOnlyPeriod = 4 * time.Second
 	// connLimitPause is how long no connection is opened after the instance refused one because
 	// of its connection limit.
 	connLimitPause = 60 * time.Millisecond
+	// fullPeriod is how long a host does not exceed the number of connections at which the instance refused
+	// another one, if connections belong to client accounts.
+	fullPeriod = time.Second
 	// probeInterval is the pause between two attempts to reach a failed instance.
 	probeInterval = 100 * time.Millisecond
 	// maxConcurrentDials is the number of connections to an instance that a host opens at the same
@@ -95,8 +106,10 @@
 	idle []*Conn
 	// open is the number of open connections, idle or in use.
 	open int
-	// dialing is the number of connections being opened, except by probes.
-	dialing int
+	// dialing is the number of connections being opened, except by probes, and dialingFor that of each
+	// client account.
+	dialing    int
+	dialingFor map[string]int
 	// waiting are the waiters in the order in which they get connections.
 	waiting []*waiter
 	// maxConns is the number of connections that all hosts together may have to the instance; this
@@ -107,6 +120,22 @@
 	// connLimitUntil is the end of the pause after the instance refused a connection because of
 	// its connection limit.
 	connLimitUntil time.Time
+	// fullAt is the number of connections that this host had when the instance last refused one, and
+	// fullUntil the end of the time for which it replaces connections instead of opening more. Both are used
+	// only if connections belong to accounts.
+	fullAt    int
+	fullUntil time.Time
+	// accounts is set once a request of a client account has come.
+	accounts bool
+	// busy has the number of connections in use by client account.
+	busy   map[string]int
+	demand keep.Demand
+	// formerShare is the share before its last increase, which applies until shareGrowsAt if connections
+	// belong to accounts: the hosts that had the rest may hold it for a while.
+	formerShare int
+	// reserve is the number of connections up to which the host need not close others to open one.
+	reserve      int
+	shareGrowsAt time.Time
 	// shareOnlyUntil is the end of the period in which this host stays within its share.
 	shareOnlyUntil time.Time
 	// standby is set if this host lends connections only if the first lender fails.
@@ -132,16 +161,27 @@
 	Rank int
 	// Database is the database of the request, or "" for requests of this host itself.
 	Database string
-	// Account is the client account of the request, or "" if it has none.
+	// Account is the client account of the request, or "" if it has none. The request only runs on a
+	// connection that was opened for the account.
 	Account string
+	// MayBeLate is set for a request that no other instance can serve. If no slot gets free within its wait
+	// limit, it waits for as long as its answer can still arrive within its time limit.
+	MayBeLate bool
+	// Movable is set if another instance may have a free slot: a lender whose instance has none then
+	// declines the request.
+	Movable bool
 }
 
+// own reports whether the request is one of this host itself, which may run on any connection.
+func (p Priority) own() bool { return p.Database == "" && p.Account == "" }
+
 // UrgentRank is the lowest rank. It goes before all requests of callers.
 const UrgentRank = -1
 
 // waiter is a goroutine that waits for a connection.
 type waiter struct {
 	prio     Priority
+	since    time.Time
 	deadline time.Time
 	// done gets exactly one result, or none if the waiter gives up.
 	done chan connResult
@@ -165,9 +205,37 @@
 		p.shareOnlyUntil = p.Now().Add(shareOnlyPeriod)
 	}
 	p.maxConns = UsableConns(limit)
+	if now := p.Now(); share > p.share && !now.Before(p.shareOnlyUntil) {
+		p.formerShare, p.shareGrowsAt = max(p.shareNow(now), p.reserve), now.Add(shareOnlyPeriod)
+	}
 	p.share = share
 }
 
+// shareNow returns how many connections this host may keep at present. If they belong to accounts, the share is
+// a large part of what the instance accepts; until an earlier run of this host, or the host that had the share
+// before, can no longer hold it, this host keeps no more than the instance's slots need. The caller holds mu.
+func (p *Pool) shareNow(now time.Time) int {
+	if !p.accounts {
+		return p.share
+	}
+	few := p.Slots + extraInFlight
+	switch {
+	case now.Before(p.shareOnlyUntil):
+		return min(p.share, few)
+	case now.Before(p.shareGrowsAt):
+		return min(p.share, max(p.formerShare, few))
+	}
+	return p.share
+}
+
+// SetReserve sets how many connections this host may have while it needs them although its share is smaller,
+// because it takes over for a first lender. It has an effect only if connections belong to accounts.
+func (p *Pool) SetReserve(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reserve = n
+}
+
 // SetStandby sets whether this host is a standby lender, which other hosts ask only if the first
 // lender fails. After its start, a standby opens no connections in advance while connections to the
 // instance may be scarce; the first lender needs them more.
@@ -271,7 +339,12 @@
 func (p *Pool) Get(ctx context.Context, waitLimit time.Duration, prio Priority) (*Conn, error) {
 	now := p.Now()
 	p.mu.Lock()
-	if c := p.takeIdle(now); c != nil {
+	if prio.Account != "" {
+		p.accounts = true
+		p.demand.Record(now, prio.Account, prio.Rank)
+	}
+	if c := p.takeIdle(now, prio); c != nil {
+		p.use(now, c, prio)
 		p.mu.Unlock()
 		return p.beginUse(c, prio, now.Add(waitLimit)), nil
 	}
@@ -283,7 +356,7 @@
 		p.mu.Unlock()
 		return nil, p.connLimitError()
 	}
-	w := &waiter{prio: prio, deadline: now.Add(waitLimit), done: make(chan connResult, 1)}
+	w := &waiter{prio: prio, since: now, deadline: now.Add(waitLimit), done: make(chan connResult, 1)}
 	p.enqueue(w)
 	p.dialForWaiting(now)
 	p.mu.Unlock()
@@ -350,12 +423,12 @@
 	p.waiting[at] = w
 }
 
-// takeIdle removes and returns the most recently used idle connection that is healthy, or nil. It
-// closes unhealthy ones. The caller holds mu.
-func (p *Pool) takeIdle(now time.Time) *Conn {
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
+// takeIdle removes and returns the most recently used idle connection that serves the request and is
+// healthy, or nil. It closes unhealthy ones. The caller holds mu.
+func (p *Pool) takeIdle(now time.Time, prio Priority) *Conn {
+	for i := p.nextIdle(now, prio); i >= 0; i = p.nextIdle(now, prio) {
+		c := p.idle[i]
+		p.idle = slices.Delete(p.idle, i, i+1)
 		if now.Sub(c.idleSince) < socketCheckAfter && c.r.Buffered() == 0 {
 			return c
 		}
@@ -369,13 +442,31 @@
 	return nil
 }
 
+// nextIdle returns the index of the idle connection that a request gets, or -1: the most recently used one of
+// its account. A request of this host itself gets the one that the accounts need least. The caller holds mu.
+func (p *Pool) nextIdle(now time.Time, prio Priority) int {
+	if p.accounts && prio.own() {
+		return keep.Least(now, p.idleUsages())
+	}
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if p.idle[i].serves(prio) {
+			return i
+		}
+	}
+	return -1
+}
+
 // putBack returns a connection to the pool after use.
 func (p *Pool) putBack(c *Conn) {
 	p.load.Add(-1)
 	now := p.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.unuse(c)
 	p.assign(now, c)
+	if p.accounts {
+		p.dialForWaiting(now)
+	}
 }
 
 // discard closes a connection in use, which counts as a failure of the connection.
@@ -385,6 +476,7 @@
 	now := p.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.unuse(c)
 	p.open--
 	if !p.closed {
 		p.recordConnFailure(now)
@@ -403,26 +495,46 @@
 	if p.pending > 0 && now.Sub(p.unansweredSince) > unansweredLimit {
 		p.recordConnFailure(p.unansweredSince)
 	}
-	for len(p.idle) > 0 && p.idleExpired(now.Sub(p.idle[0].idleSince)) {
-		p.idle[0].raw.Close()
-		p.idle = p.idle[1:]
-		p.open--
-	}
+	p.closeExpired(now)
 	if p.share == 0 || p.standby && now.Before(p.shareOnlyUntil) {
 		return
 	}
 	if p.open+p.dialing == 0 && !p.down && !p.probing && !now.Before(p.connLimitUntil) {
-		p.dialing++
-		go p.dial()
+		account, _ := p.foremost(now)
+		p.startDial(account)
 	}
 	p.dialForWaiting(now)
+	p.dialAhead(now)
+}
+
+// closeExpired closes connections that were idle for too long. The caller holds mu.
+func (p *Pool) closeExpired(now time.Time) {
+	for len(p.idle) > 0 && p.idleExpired(now, now.Sub(p.idle[0].idleSince)) {
+		expired := 0
+		if p.accounts && p.open > p.shareNow(now) {
+			expired = keep.Least(now, p.idleUsages())
+		}
+		p.closeIdle(expired)
+	}
+}
+
+// closeIdle closes an idle connection. The caller holds mu.
+func (p *Pool) closeIdle(i int) {
+	p.idle[i].raw.Close()
+	p.idle = slices.Delete(p.idle, i, i+1)
+	p.open--
 }
 
 // idleExpired reports whether a connection that was idle for the given time must be closed. The
 // caller holds mu.
-func (p *Pool) idleExpired(idle time.Duration) bool {
-	if p.open > p.share {
+func (p *Pool) idleExpired(now time.Time, idle time.Duration) bool {
+	switch surplus := p.open > p.shareNow(now); {
+	case surplus && p.accounts && p.reserve > 0:
+		return idle > reserveIdleTimeout
+	case surplus:
 		return idle > surplusIdleTimeout
+	case p.accounts:
+		return idle > accountIdleTimeout
 	}
 	return p.open > p.Slots+extraInFlight && idle > shareIdleTimeout
 }
--- a/internal/traffic/sess/execution.go
+++ b/internal/traffic/sess/execution.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/agatespindle/agatespindle/internal/base/clock"
 	"github.com/agatespindle/agatespindle/internal/control/spec"
+	"github.com/agatespindle/agatespindle/internal/traffic/even"
 	"github.com/agatespindle/agatespindle/internal/traffic/flow"
 	"github.com/agatespindle/agatespindle/internal/traffic/pool"
 	"github.com/agatespindle/agatespindle/internal/traffic/route"
@@ -18,6 +20,8 @@
 type execution struct {
 	session *Session
 	db      spec.Database
+	// account is the client account that the statement runs for, or "".
+	account string
 	group   *topo.Group
 	// needsPrimary is set if the statement must run at the primary.
 	needsPrimary bool
@@ -31,6 +35,10 @@
 	// excluded holds the names of the instances that are not tried again.
 	excluded map[string]bool
 	tries    int
+	// placement is the latest choice by reported loads, and declined holds the names of the instances that
+	// had no free slot for the statement.
+	placement even.Choice
+	declined  map[string]bool
 	// lastVerdict is the verdict on the latest try.
 	lastVerdict flow.Verdict
 	requestID   string
@@ -40,11 +48,16 @@
 // timeout of the database.
 func (s *Session) runAutocommit(ctx context.Context, st flow.Statement, req flow.Request, effect flow.Effect) flow.Answer {
 	now := s.mgr.Now()
-	db, ok := s.mgr.Topology.Snapshot().Databases[s.database]
+	snapshot := s.mgr.Topology.Snapshot()
+	db, ok := snapshot.Databases[s.database]
 	if !ok {
 		return flow.ErrorAnswer(flow.NoDatabase, flow.Idle, s.database)
 	}
-	e := s.newExecution(now, db, st, effect == flow.Writes)
+	account, ok := snapshot.AccountOf(db, s.key)
+	if !ok {
+		return s.deny()
+	}
+	e := s.newExecution(now, db, account, st, effect == flow.Writes)
 	for e.nextTry(ctx) {
 		m, ok := e.chooseInstance(ctx, s.mgr.Now(), effect == flow.Reads)
 		if !ok && e.waitAndRetry(ctx) {
@@ -63,9 +76,9 @@
 
 // newExecution returns the execution of a statement, or of the opening of a transaction, before its
 // first try.
-func (s *Session) newExecution(now time.Time, db spec.Database, st flow.Statement, fenced bool) *execution {
+func (s *Session) newExecution(now time.Time, db spec.Database, account string, st flow.Statement, fenced bool) *execution {
 	return &execution{
-		session: s, db: db, group: &topo.Group{Name: db.Group}, started: now, requestID: st.ID, fenced: fenced, lastVerdict: flow.Verdict{Code: flow.Busy},
+		session: s, db: db, account: account, group: &topo.Group{Name: db.Group}, started: now, requestID: st.ID, fenced: fenced, lastVerdict: flow.Verdict{Code: flow.Busy},
 	}
 }
 
@@ -103,7 +116,7 @@
 	if !e.needsPrimary {
 		e.minPosition, e.needsPrimary = e.requiredPosition(ctx, now)
 	}
-	name, ok := e.session.mgr.Costs.Pick(route.Requirement{Primary: e.needsPrimary}, e.group.Candidates(now, e.excluded))
+	name, ok := e.place(now)
 	if !ok {
 		if primary := e.group.Member(e.group.Primary); primary != nil && primary.HasLeft(now) {
 			e.lastVerdict.Code = flow.Leaving
@@ -181,7 +194,7 @@
 
 // try runs the statement at an instance. It reports false if another try should follow.
 func (e *execution) try(ctx context.Context, m *topo.Member, req flow.Request, effect flow.Effect) (flow.Answer, bool) {
-	conn, err := m.Open(ctx, e.queueWaitLimit(), e.priority())
+	conn, err := m.Open(ctx, e.queueWaitLimit(), e.priority(m))
 	if err != nil {
 		e.exclude(m.Instance)
 		e.recordFailure(m, flow.Unsent, err.Error(), effect)
@@ -193,10 +206,13 @@
 	}
 	sent := e.session.mgr.Now()
 	unproven := onPrimary && !e.fenced && !e.leased(sent)
-	answer, stage, err := conn.Run(e.answerTimeout(effect), e.session.values, req, !unproven)
+	answer, stage, err := conn.Run(e.answerTimeout(m, effect), e.session.values, req, !unproven)
 	now := e.session.mgr.Now()
 	if err != nil {
 		conn.Close()
+		if stage == flow.Sent {
+			m.RecordMissingAnswer(now)
+		}
 		e.exclude(m.Instance)
 		e.recordFailure(m, stage, err.Error(), effect)
 		return e.handleMissingAnswer(effect)
@@ -205,6 +221,10 @@
 		return e.provePrimary(m, conn, answer)
 	}
 	conn.Release()
+	if answer.Code == flow.Declined {
+		e.decline(m)
+		return flow.Answer{}, false
+	}
 	e.recordAnswer(now, m, answer)
 	if answer.Code != flow.OK {
 		return e.handleErrorAnswer(ctx, now, m, answer, effect)
@@ -273,33 +293,48 @@
 	return "replica"
 }
 
-// queueWaitLimit returns how long the statement may wait for a connection and an admission slot. It
-// is bounded by the database's target latency: a statement that would miss it is better refused early.
+// queueWaitLimit returns how long the statement may wait for a connection and an admission slot to be in
+// time. It is bounded by the database's target latency: a statement that would miss it is better tried
+// elsewhere. One that nothing else can serve may be late; see priority.
 func (e *execution) queueWaitLimit() time.Duration {
 	now := e.session.mgr.Now()
 	return min(e.remaining(now), max(minQueueWait, e.db.TargetLatency/queueWaitDivisor-now.Sub(e.started)))
 }
 
 // priority returns the order of the statement among others that wait for the same instance.
-func (e *execution) priority() pool.Priority {
-	return pool.Priority{Rank: e.db.Priority, Database: e.db.Name}
+func (e *execution) priority(m *topo.Member) pool.Priority {
+	return pool.Priority{Rank: e.db.Priority, Database: e.db.Name, Account: e.account, MayBeLate: e.isLast(m), Movable: e.placement.Movable}
+}
+
+// isLast reports whether no other instance than m can serve the statement now, if m does not.
+func (e *execution) isLast(m *topo.Member) bool {
+	if e.needsPrimary {
+		return true
+	}
+	others := e.group.Candidates(e.session.mgr.Now(), e.excluded)
+	others = slices.DeleteFunc(others, func(c route.Candidate) bool { return c.Name == m.Instance })
+	_, ok := e.session.mgr.Costs.Pick(route.Requirement{}, others)
+	return !ok
 }
 
 // answerTimeout returns how long to wait for the answer. A read that a replica can serve has a shorter
-// timeout, because another instance can be tried; a write can only run at the primary.
-func (e *execution) answerTimeout(effect flow.Effect) time.Duration {
+// timeout, because another instance can be tried; a write can only run at the primary. The timeout is
+// longer where answers take longer: a read that was abandoned still occupies its slot.
+func (e *execution) answerTimeout(m *topo.Member, effect flow.Effect) time.Duration {
 	left := e.remaining(e.session.mgr.Now())
 	if effect == flow.Reads && !e.needsPrimary {
-		return min(left, readAnswerTimeout)
+		return min(left, max(readAnswerTimeout, slowAnswerFactor*m.Latency()))
 	}
 	return left
 }
 
 // recordAnswer updates the routing state of an instance from the code of its answer.
 func (e *execution) recordAnswer(now time.Time, m *topo.Member, answer flow.Answer) {
+	m.RecordReached(answer.Position)
 	switch answer.Code {
 	case flow.OK:
 		m.RecordSuccess()
+		m.RecordAnswer(now)
 	case flow.Behind:
 		m.RecordLag(now)
 	case flow.Failed, flow.Unknown:
@@ -320,6 +355,11 @@
 		e.logRefusal(now, e.lastVerdict.Code)
 		return flow.ErrorAnswer(e.lastVerdict.Code, flow.Idle, answer.Text), true
 	}
+	if answer.Code == flow.Limited {
+		// Other instances would refuse it as well.
+		e.tries = maxTries
+		return flow.Answer{}, false
+	}
 	if answer.Code == flow.Busy && m.Instance == e.group.Primary {
 		clock.Sleep(ctx, busyRetryDelay)
 		if now.Sub(e.started) > e.db.TargetLatency {
--- a/internal/traffic/sess/transaction.go
+++ b/internal/traffic/sess/transaction.go
@@ -14,7 +14,9 @@
 // transaction is an open transaction of a session. It is opened on an instance, and gets its
 // connection, with the first statement after BEGIN.
 type transaction struct {
-	db       spec.Database
+	db spec.Database
+	// account is the client account that the transaction runs for, or "".
+	account  string
 	readOnly bool
 	// idleTimeout is how long the transaction may stay idle; zero or less means no limit.
 	idleTimeout time.Duration
@@ -80,7 +82,7 @@
 // several instances. It returns an error answer and false if none could open the transaction.
 func (s *Session) openTransaction(ctx context.Context, st flow.Statement) (flow.Answer, bool) {
 	tx := s.tx
-	e := s.newExecution(s.mgr.Now(), tx.db, st, !tx.readOnly)
+	e := s.newExecution(s.mgr.Now(), tx.db, tx.account, st, !tx.readOnly)
 	for e.nextTry(ctx) {
 		m, ok := e.chooseInstance(ctx, s.mgr.Now(), tx.readOnly)
 		if !ok && e.waitAndRetry(ctx) {
@@ -105,7 +107,7 @@
 // the answer; otherwise it could miss acknowledged writes. A host without a lease opens it as one
 // that may write, which a replaced primary refuses.
 func (s *Session) tryOpenOn(ctx context.Context, e *execution, m *topo.Member) bool {
-	conn, err := m.Open(ctx, e.queueWaitLimit(), e.priority())
+	conn, err := m.Open(ctx, e.queueWaitLimit(), e.priority(m))
 	if err != nil {
 		e.exclude(m.Instance)
 		e.recordFailure(m, flow.Unsent, err.Error(), flow.Reads)
@@ -124,6 +126,10 @@
 	answer, _, err := conn.Run(min(setupTimeout, max(time.Millisecond, e.remaining(sent))), s.values, req, false)
 	now := s.mgr.Now()
 	switch {
+	case err == nil && answer.Code == flow.Declined:
+		conn.Release()
+		e.decline(m)
+		return false
 	case err != nil:
 		conn.Close()
 		e.exclude(m.Instance)
@@ -135,6 +141,9 @@
 		if answer.Code != flow.Behind {
 			e.exclude(m.Instance)
 		}
+		if answer.Code == flow.Limited {
+			e.tries = maxTries
+		}
 		e.recordFailure(m, flow.Answered, answer.Code.String(), flow.Reads)
 		e.lastVerdict = flow.VerdictFor(flow.Answered, flow.Reads, answer.Code)
 		return false
--- a/internal/traffic/topo/topology.go
+++ b/internal/traffic/topo/topology.go
@@ -16,7 +16,9 @@
 	"github.com/agatespindle/agatespindle/internal/base/wire"
 	"github.com/agatespindle/agatespindle/internal/control/agent"
 	"github.com/agatespindle/agatespindle/internal/control/place"
+	"github.com/agatespindle/agatespindle/internal/control/share"
 	"github.com/agatespindle/agatespindle/internal/control/spec"
+	"github.com/agatespindle/agatespindle/internal/traffic/even"
 	"github.com/agatespindle/agatespindle/internal/traffic/pool"
 	"github.com/agatespindle/agatespindle/internal/traffic/route"
 	"github.com/agatespindle/agatespindle/internal/traffic/token"
@@ -65,6 +67,8 @@
 	// Borrow, if set, borrows a connection to an instance from the host at addr, waiting at most
 	// waitLimit for a free one; a lower rank is served first.
 	Borrow func(addr, group, instance string, prio pool.Priority, waitLimit time.Duration) (pool.Handle, error)
+	// Shares, if set, holds this host's shares of the limits of client accounts.
+	Shares *share.Holder
 	// LeaveBound is how long after its announcement a leaving instance may get new requests.
 	LeaveBound spec.LeaveBound
 	// Now returns the current time; tests replace it.
@@ -81,11 +85,18 @@
 	manifestResource *wire.Resource
 	manifest         spec.Manifest
 	databases        map[string]spec.Database
+	accounts         map[spec.KeyDigest]string
+	// accountMetrics are the gauges of connections by account, last set at accountsReportedAt. Only Run uses
+	// them.
+	accountMetrics     map[string]int
+	accountsReportedAt time.Time
 	// chosenLenders are the lenders of lentInstances, chosen from lenderCandidates.
 	chosenLenders    map[string][]place.Lender
 	lentInstances    []place.Instance
 	lenderCandidates []place.Lender
 	positionQueries  sync.WaitGroup
+	// largestLoads has the instance with the largest known load by group. Only maintain uses it.
+	largestLoads map[string]string
 }
 
 // Snapshot is the topology at a revision of the resources. It is immutable.
@@ -97,6 +108,19 @@
 	Groups         map[string]*Group
 	// TxIdleLimit is how long a transaction may be idle; zero means no limit.
 	TxIdleLimit time.Duration
+	// Accounts has the names of the client accounts by the digests of their keys. It is nil if
+	// callers need no key.
+	Accounts map[spec.KeyDigest]string
+}
+
+// AccountOf returns the client account for which a caller with a key uses a database; "" if it needs
+// none. It reports false if the caller may not use the database.
+func (s *Snapshot) AccountOf(db spec.Database, key spec.KeyDigest) (string, bool) {
+	if s.Accounts == nil {
+		return "", true
+	}
+	name, ok := s.Accounts[key]
+	return name, ok || db.Public
 }
 
 // Group is a database group at a revision.
@@ -136,6 +160,10 @@
 	// instance accepts.
 	center          string
 	connectionLimit int
+	// share is the number of those connections that this host may keep.
+	share int
+	// reserve is how many it may have while it takes over for the first lender, or 0.
+	reserve int
 
 	topology *Topology
 	state    *memberState
@@ -157,7 +185,15 @@
 	noLenderUntil atomic.Int64
 	// lastLender is the address of the host that lent a connection last.
 	lastLender atomic.Pointer[string]
-	addr       string
+	// reached is the position that the instance reported last.
+	reached atomic.Pointer[token.Position]
+	// lagging is set while the backoff is for a lag.
+	lagging atomic.Bool
+	// view is what this host knows of the instance's load.
+	view even.View
+	// avoidance is why the instance gets fewer requests, as logged last.
+	avoidance avoidance
+	addr      string
 	// startTime is the start of the instance in Unix milliseconds.
 	startTime int64
 }
@@ -175,6 +211,7 @@
 	t.members = map[string]*Member{}
 	t.positions = map[string]*positionCache{}
 	t.unhealthyPrimary = map[string]bool{}
+	t.largestLoads = map[string]string{}
 	t.snapshot.Store(&Snapshot{})
 	t.manifestLoaded = make(chan struct{})
 	t.Agent.OnView = t.applyView
@@ -237,7 +274,9 @@
 		for _, m := range g.Members {
 			m.Maintain(now)
 		}
+		t.measureBalance(now, g)
 	}
+	t.reportAccounts(now)
 	if t.primaryHealthChanged(now) {
 		t.Agent.RenewNow()
 	}
@@ -249,13 +288,19 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.loadManifest(v.Get(spec.Manifests, spec.CurrentManifest))
-	next := &Snapshot{Revision: v.Revision, ManifestNumber: t.manifest.Number, Databases: t.databases, TxIdleLimit: t.manifest.TransactionIdleTimeout, Groups: map[string]*Group{}}
+	next := &Snapshot{Revision: v.Revision, ManifestNumber: t.manifest.Number, Databases: t.databases, TxIdleLimit: t.manifest.TransactionIdleTimeout, Accounts: t.accounts, Groups: map[string]*Group{}}
 	hosts := connectionHosts(v)
 	seen := map[string]bool{}
 	for _, declared := range t.manifest.Groups {
 		next.Groups[declared.Name] = t.buildGroup(v, declared, hosts, seen)
 	}
 	t.assignLenders(next, hosts)
+	for _, g := range next.Groups {
+		for _, m := range g.Members {
+			m.SetConnLimits(m.connectionLimit, m.share)
+			m.SetReserve(m.reserve)
+		}
+	}
 	for name, m := range t.members {
 		if !seen[name] {
 			m.Shutdown()
@@ -288,7 +333,19 @@
 			t.databases[db.Name] = db
 		}
 	}
-	t.Log.WithField("number", m.Number).WithField("databases", len(m.Databases)).Info("manifest applied")
+	if t.Shares != nil {
+		t.Shares.SetAccounts(t.Now(), m.Accounts)
+	}
+	t.accounts = nil
+	if m.NeedsKeys() {
+		t.accounts = map[spec.KeyDigest]string{}
+	}
+	for _, a := range m.Accounts {
+		for _, key := range a.Keys {
+			t.accounts[key] = a.Name
+		}
+	}
+	t.Log.WithField("number", m.Number).WithField("databases", len(m.Databases)).WithField("accounts", len(m.Accounts)).Info("manifest applied")
 }
 
 func (t *Topology) buildGroup(v *agent.View, declared spec.ManifestGroup, hosts []place.Lender, seen map[string]bool) *Group {
@@ -311,7 +368,7 @@
 			since, _ := v.LeavingSince(r.Name, r.Backend.Born)
 			m.SetLeaveDeadline(t.LeaveBound.Deadline(since))
 		}
-		m.SetConnLimits(declared.MaxConnections, t.directShare(declared.MaxConnections, hosts))
+		m.share = t.directShare(declared.MaxConnections, hosts)
 		m.center, m.connectionLimit = r.Backend.Center, declared.MaxConnections
 		seen[r.Name] = true
 		g.Members = append(g.Members, m)
@@ -372,7 +429,7 @@
 		list = append(list, route.Candidate{
 			Name: m.Instance, Primary: g.Open && m.Instance == g.Primary, Draining: m.Draining, Left: m.HasLeft(now), Down: m.unreachable(now),
 			Local: m.Local, Load: m.Load(), Slots: m.Slots, Latency: m.Latency(),
-			InBackoff: now.UnixNano() < m.state.backoffUntil.Load(), Tried: tried[m.Instance],
+			InBackoff: now.UnixNano() < m.state.backoffUntil.Load(), Lagging: m.state.lagging.Load(), ReportedPosition: m.ReachedPosition(), Tried: tried[m.Instance],
 		})
 	}
 	return list
@@ -396,14 +453,37 @@
 	})
 }
 
+// RecordReached records the log position that the instance reported with an answer. A zero position is
+// not recorded.
+func (m *Member) RecordReached(p token.Position) {
+	if p != (token.Position{}) {
+		m.state.reached.Store(&p)
+	}
+}
+
+// ReachedPosition returns the position that the instance reported last, zero if there is none.
+func (m *Member) ReachedPosition() token.Position {
+	if p := m.state.reached.Load(); p != nil {
+		return *p
+	}
+	return token.Position{}
+}
+
 // failingSince returns the time of the first lag or failure since the last success.
 func (m *Member) failingSince() time.Time { return time.Unix(0, m.state.failingSince.Load()) }
 
 // RecordLag starts a backoff for a replica that lacked the position a read needed.
-func (m *Member) RecordLag(now time.Time) { m.backOff(now, minLagBackoff, maxLagBackoff) }
+func (m *Member) RecordLag(now time.Time) {
+	m.state.lagging.Store(true)
+	m.backOff(now, minLagBackoff, maxLagBackoff)
+}
 
 // RecordFailure starts a backoff for an instance that failed a statement that others may serve.
-func (m *Member) RecordFailure(now time.Time) { m.backOff(now, minFailureBackoff, maxFailureBackoff) }
+func (m *Member) RecordFailure(now time.Time) {
+	m.state.lagging.Store(false)
+	m.state.view.Judge(now, true)
+	m.backOff(now, minFailureBackoff, maxFailureBackoff)
+}
 
 // backOff makes reads avoid the instance for a time that starts at initial and doubles with each
 // call before a success, up to maximum.
