--- a/internal/traffic/pool/account.go
+++ b/internal/traffic/pool/account.go
@@ -26,12 +26,9 @@
 
 // keepState returns what the decision for the next connection depends on. The caller holds mu.
 func (p *Pool) keepState(now time.Time) keep.State {
-	limit, allowed := p.maxConnsNow(now), max(1, p.shareNow(now))
-	if !now.Before(p.shareOnlyUntil) {
-		allowed = max(allowed, p.reserve)
-	}
+	limit := p.maxConnsNow(now)
 	s := keep.State{
-		Idle: p.idleUsages(), Busy: p.busy, Opening: p.dialingFor, Open: p.open, Share: min(allowed, limit), Max: limit,
+		Idle: p.idleUsages(), Busy: p.busy, Opening: p.dialingFor, Open: p.open, Share: min(max(1, p.shareNow(now)), limit), Max: limit,
 		Slots: p.Slots, Latency: p.Latency(),
 	}
 	for _, w := range p.waiting {
--- a/internal/traffic/pool/pool.go
+++ b/internal/traffic/pool/pool.go
@@ -35,9 +35,6 @@
 	// accountIdleTimeout is how long an idle connection within the share stays open if connections belong
 	// to client accounts.
 	accountIdleTimeout = 30 * time.Second
-	// reserveIdleTimeout is how long an idle connection beyond the share of a standby lender stays open in that
-	// case: the first lender may be back.
-	reserveIdleTimeout = 3 * time.Second
 	// shareOnlyPeriod is how long a host stays within its share after its start. An instance holds
 	// the connections of hosts that lost power for 3 s.
 	shareOnlyPeriod = 4 * time.Second
@@ -129,9 +126,7 @@
 	demand keep.Demand
 	// formerShare is the share before its last increase, which applies until shareGrowsAt if connections
 	// belong to accounts: the hosts that had the rest may hold it for a while.
-	formerShare int
-	// reserve is the number of connections up to which the host need not close others to open one.
-	reserve      int
+	formerShare  int
 	shareGrowsAt time.Time
 	// shareOnlyUntil is the end of the period in which this host stays within its share.
 	shareOnlyUntil time.Time
@@ -197,7 +192,7 @@
 	}
 	p.maxConns = UsableConns(limit)
 	if now := p.Now(); share > p.share && !now.Before(p.shareOnlyUntil) {
-		p.formerShare, p.shareGrowsAt = max(p.shareNow(now), p.reserve), now.Add(shareOnlyPeriod)
+		p.formerShare, p.shareGrowsAt = p.shareNow(now), now.Add(shareOnlyPeriod)
 	}
 	p.share = share
 }
@@ -219,14 +214,6 @@
 	return p.share
 }
 
-// SetReserve sets how many connections this host may have while it needs them although its share is smaller,
-// because it takes over for a first lender. It has an effect only if connections belong to accounts.
-func (p *Pool) SetReserve(n int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.reserve = n
-}
-
 // SetStandby sets whether this host is a standby lender, which other hosts ask only if the first
 // lender fails. After its start, a standby opens no connections in advance while connections to the
 // instance may be scarce; the first lender needs them more.
@@ -520,8 +507,6 @@
 // caller holds mu.
 func (p *Pool) idleExpired(now time.Time, idle time.Duration) bool {
 	switch surplus := p.open > p.shareNow(now); {
-	case surplus && p.accounts && p.reserve > 0:
-		return idle > reserveIdleTimeout
 	case surplus:
 		return idle > surplusIdleTimeout
 	case p.accounts:
--- a/internal/traffic/topo/lenders.go
+++ b/internal/traffic/topo/lenders.go
@@ -139,9 +139,6 @@
 		if i < m.dedicatedCount {
 			m.lenders = nil
 		}
-		if t.accounts != nil && i > 0 && h.Dedicated {
-			m.reserve = pool.UsableConns(m.connectionLimit) - shares[0]
-		}
 		m.EnableAdmissionControl()
 		m.SetStandby(i > 0)
 		break
--- a/internal/traffic/topo/topology.go
+++ b/internal/traffic/topo/topology.go
@@ -156,8 +156,6 @@
 	connectionLimit int
 	// share is the number of those connections that this host may keep.
 	share int
-	// reserve is how many it may have while it takes over for the first lender, or 0.
-	reserve int
 
 	topology *Topology
 	state    *memberState
@@ -282,7 +280,6 @@
 	for _, g := range next.Groups {
 		for _, m := range g.Members {
 			m.SetConnLimits(m.connectionLimit, m.share)
-			m.SetReserve(m.reserve)
 		}
 	}
 	for name, m := range t.members {
