share: Call a limit used up only if the account asks for more than its rate

Cause: after a restart of all control hosts the accounts' buckets are empty, so that small accounts below their limits were refused for good at one host while others had tokens.

--- a/internal/control/share/alloc.go
+++ b/internal/control/share/alloc.go
@@ -434,13 +434,18 @@
 	}
 }
 
-// noteExhausted records whether an account has used up its limit.
+// noteExhausted records whether an account has used up its limit: it has no tokens left and asks for more
+// than its rate. After a restart of its holders it has none either, but gets some soon.
 func (a *Allocator) noteExhausted(name string, l *limit) {
 	left := float64(l.tokensLeft) / a.Tolerance.Capacity(l.declared)
+	demand := 0.0
+	for _, s := range l.held {
+		demand += s.demand
+	}
 	switch {
-	case l.declared.Rate == 0 || left >= recoveredPart:
+	case l.declared.Rate == 0 || left >= recoveredPart || demand < recoveredDemand*l.declared.Rate:
 		delete(a.exhausted, name)
-	case left <= exhaustedPart:
+	case left <= exhaustedPart && demand > l.declared.Rate:
 		if a.exhausted == nil {
 			a.exhausted = map[string]bool{}
 		}
--- a/internal/control/share/plan.go
+++ b/internal/control/share/plan.go
@@ -25,6 +25,8 @@
 	// limit, and recoveredPart the part from which it has not any more.
 	exhaustedPart = 0.05
 	recoveredPart = 0.25
+	// recoveredDemand is the part of its rate below which an account's demand no longer exceeds its limit.
+	recoveredDemand = 0.8
 	// maxEqualPart is the part of a limit that may be divided equally for that.
 	maxEqualPart = 0.5
 )
--- a/internal/control/share/share_test.go
+++ b/internal/control/share/share_test.go
@@ -15,7 +15,7 @@
 const (
 	// histories is the number of random histories, brokenHistories that of those with a broken protocol.
 	histories       = 2000
-	brokenHistories = 100
+	brokenHistories = 200
 )
 
 // playHistory plays a random history: hosts are killed, frozen, cut off and replaced, leaders change, the
