httpd, link, platform: Count what is closed at a bound, and keep all bounds within the descriptors

Cause: connections closed at a bound of HTTP listeners or of the link had no counter; the bounds of hosts, API, readiness and metrics together could be more than the descriptors that callers leave.

--- a/internal/base/httpd/httpd.go
+++ b/internal/base/httpd/httpd.go
@@ -23,6 +23,8 @@
 	// limit is the maximum number of connections; 0 means no limit. One more ends the one whose request has
 	// lasted longest, or that has been without one: ordinary requests end soon.
 	limit int
+	// onClosed, if set, is called for each connection that limit ends.
+	onClosed func()
 
 	mu     sync.Mutex
 	conns  map[net.Conn]connState
@@ -74,6 +76,9 @@
 	if oldest != nil {
 		delete(o.conns, oldest)
 		oldest.Close()
+		if o.onClosed != nil {
+			o.onClosed()
+		}
 	}
 }
 
@@ -96,6 +101,8 @@
 	Conns int
 	// Request is how long a request may take to arrive, and Response how long until its response was sent.
 	Request, Response time.Duration
+	// OnClosed, if set, is called when a connection is closed because of Conns.
+	OnClosed func()
 }
 
 // Serve serves requests in the background until ctx ends. Requests in progress then get up to limit to be
@@ -107,7 +114,7 @@
 
 // Serve is like the function Serve, within the limits.
 func (l Limits) Serve(ctx context.Context, ln net.Listener, h http.Handler, limit time.Duration) <-chan error {
-	conns := openConns{limit: l.Conns}
+	conns := openConns{limit: l.Conns, onClosed: l.OnClosed}
 	srv := &http.Server{
 		Handler: h, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: l.Request, WriteTimeout: l.Response, IdleTimeout: idleTimeout, ConnState: conns.record,
 	}
--- a/internal/base/link/link.go
+++ b/internal/base/link/link.go
@@ -159,6 +159,8 @@
 	// MaxSessions and MaxStreams are the maximum numbers of connections from other hosts and of their streams;
 	// zero means no limit.
 	MaxSessions, MaxStreams int
+	// OnClosed, if set, is called when a connection is closed because of them. It must not block.
+	OnClosed func()
 
 	peers    peers
 	mu       sync.Mutex
@@ -170,6 +172,7 @@
 // at most flushTimeout, and then lose their streams. Once all have returned, the returned channel
 // receives nil, or the error with which accepting connections failed.
 func (s *Server) Run(ctx context.Context) <-chan error {
+	s.peers.onClosed = s.OnClosed
 	s.sessions = map[*muxSession]struct{}{}
 	done := make(chan error, 1)
 	go func() {
--- a/internal/base/link/peers.go
+++ b/internal/base/link/peers.go
@@ -7,6 +7,9 @@
 
 // peers bounds the sessions and streams that other hosts open.
 type peers struct {
+	// onClosed, if set, is called for each session that is closed or refused because of a limit.
+	onClosed func()
+
 	mu     sync.Mutex
 	opened map[*muxSession]time.Time
 }
@@ -17,6 +20,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if limit > 0 && len(p.opened) >= limit {
+		p.countClosed()
 		var oldest *muxSession
 		for other, since := range p.opened {
 			if other.mux.NumStreams() == 0 && (oldest == nil || since.Before(p.opened[oldest])) {
@@ -36,6 +40,13 @@
 	return true
 }
 
+// countClosed reports that a session is closed.
+func (p *peers) countClosed() {
+	if p.onClosed != nil {
+		p.onClosed()
+	}
+}
+
 // remove forgets a session.
 func (p *peers) remove(session *muxSession) {
 	p.mu.Lock()
@@ -62,6 +73,7 @@
 	if total > limit {
 		delete(p.opened, largest)
 		go largest.Close()
+		p.countClosed()
 	}
 	_, ok := p.opened[session]
 	return ok
--- a/internal/tools/node/control.go
+++ b/internal/tools/node/control.go
@@ -120,7 +120,7 @@
 	return []kernel.Service{
 		{Name: "join", Start: startFunc(c.joinQuorum)},
 		{Name: ServiceControl, Value: c.api, Start: func(ctx context.Context) (<-chan error, error) {
-			return platform.Serve(ctx, c.n.cfg.Listen.Control, c.api.Handler())
+			return platform.Serve(ctx, c.n.cfg.Listen.Control, c.api.Handler(), platform.APIConns, c.n.Meter)
 		}},
 	}
 }
--- a/internal/tools/node/node.go
+++ b/internal/tools/node/node.go
@@ -111,6 +111,7 @@
 		return nil, fmt.Errorf("listen for hosts: %w", err)
 	}
 	n.links = &link.Server{Listener: ln, Handlers: map[string]link.Handler{}, MaxSessions: cfg.MaxHosts(), MaxStreams: cfg.MaxStreams()}
+	n.links.OnClosed = func() { n.Meter.AddCounter("hosts.closed", 1) }
 	if err := n.build(); err != nil {
 		ln.Close()
 		return nil, err
@@ -225,7 +226,7 @@
 			n.Log.WithField("error", err.Error()).Debug("writing metrics response failed")
 		}
 	})
-	return platform.Serve(ctx, n.opt.Metrics, mux)
+	return platform.Serve(ctx, n.opt.Metrics, mux, platform.ProbeConns, n.Meter)
 }
 
 // reload rereads the settings when they change and applies the seeds; the other settings need a
--- a/internal/tools/node/traffic.go
+++ b/internal/tools/node/traffic.go
@@ -179,5 +179,5 @@
 func (t *traffic) serveReady(ctx context.Context) (<-chan error, error) {
 	return platform.Serve(ctx, t.n.cfg.Listen.Ready, platform.Readiness(func() bool {
 		return !t.n.draining.Load() && t.topology.Ready(clock.Monotonic())
-	}))
+	}), platform.ProbeConns, t.n.Meter)
 }
