front: Look for connections that make room at most every 10 ms

Cause: each refused connection went through all others, so that a storm of them would keep the event loop.

--- a/internal/traffic/front/front.go
+++ b/internal/traffic/front/front.go
@@ -132,6 +132,8 @@
 	started chan struct{}
 	mu      sync.Mutex
 	callers map[*caller]struct{}
+	// madeRoomAt is when a connection was last looked for that makes room; only the event loop uses it.
+	madeRoomAt time.Time
 	// drained is set once no connection is left during a drain; new ones are refused from then on.
 	drained bool
 	drain   drain.Current
--- a/internal/traffic/front/inbox.go
+++ b/internal/traffic/front/inbox.go
@@ -23,6 +23,8 @@
 	maxLoggedID = 64
 	// roomAge is the minimum age of an idle connection that is closed to make room for others.
 	roomAge = time.Second
+	// roomInterval is the minimum time between two looks for such a connection: each goes through all.
+	roomInterval = 10 * time.Millisecond
 )
 
 // inbox holds what a caller has sent and the host has not handled.
@@ -205,8 +207,12 @@
 
 // makeRoom has an idle connection closed, since a new one was refused: first one without a session, one whose
 // caller does not read its answers, or one without any statement, then the one that has rested longest. Callers
-// reconnect when they have something to ask.
+// reconnect when they have something to ask. The event loop must call it.
 func (s *Server) makeRoom(now time.Time) {
+	if now.Sub(s.madeRoomAt) < roomInterval {
+		return
+	}
+	s.madeRoomAt = now
 	var oldest *caller
 	var oldestRank int
 	var oldestSince time.Time
