front: Grant an ordinary SET when the memory is used up

Cause: a session was counted in steps of 16 KiB, all that a caller is always granted, so that the first SET of a session was refused with BUSY while the budget was full. Change: steps of 4 KiB.

--- a/internal/traffic/front/inbox.go
+++ b/internal/traffic/front/inbox.go
@@ -17,8 +17,11 @@
 	answerCopies = 3
 	// smallAnswer is the size in bytes up to which an answer is always sent.
 	smallAnswer = 4 << 10
-	// sessionStep is the step, in bytes, in which the memory of a session is counted.
-	sessionStep = 16 << 10
+	// sessionStep is the step, in bytes, in which the memory of a session is counted. An ordinary session needs
+	// one, and has room for a statement beside it in what each caller is always granted.
+	sessionStep = 4 << 10
+	// largeSession is the number of bytes of a session from which it may have to make way for others.
+	largeSession = 16 << 10
 	// maxLoggedID is the number of bytes of a request's ID that are kept for the log.
 	maxLoggedID = 64
 	// roomAge is the minimum age of an idle connection that is closed to make room for others.
@@ -133,7 +136,7 @@
 		c.pace = drain.Progress{}
 	}
 	stalled := c.unread && c.pace.Stalled(now, unsent, roomAge)
-	c.claim.SetWithin(!ahead && !stalled && unsent <= DefaultUnreadBytes && c.sessionHeld <= sessionStep)
+	c.claim.SetWithin(!ahead && !stalled && unsent <= DefaultUnreadBytes && c.sessionHeld <= largeSession)
 	if !c.claim.Set(bounds.Unsent, int64(unsent)) {
 		c.srv.Meter.AddCounter("refused.unread", 1)
 		return false
