share, topo: Start new accounts with their burst, and hold operations for a first share

Cause: with limits over all hosts a newly declared account was refused at first (TestAccountsInADeployment, ERR BUSY): its buckets began empty although its burst allows more, and a control host that had no share yet refused at once. Change: an account that is certainly new (no manifest at the election, or no leader knew it for a term and a window) starts with its capacity; a control host that has just started, or whose account was just declared, holds an operation for up to 250 ms for its first share. Elsewhere, and once a host has had shares, it refuses at once as before. Stand-ins record whether an instance refused what arrived: a trace shows arrivals at lagging replicas (LAGGING, answered within 0.02 ms) counted as runs, 22 in 2.3 ms where 20.1 may run. Tests and the soak's judge count what ran, and check the account of every arrival.

--- a/internal/backend/mimic/instance.go
+++ b/internal/backend/mimic/instance.go
@@ -198,6 +198,8 @@
 type session struct {
 	in *Instance
 	w  *bufio.Writer
+	// refused is set if the present statement was answered with one of refusals.
+	refused bool
 	// account is the account that the startup named.
 	account  string
 	inTx     bool
@@ -243,8 +245,9 @@
 		}
 		s.recordArrival(fields[1], fields[2])
 		run := in.group.startRun(in.Name, s.account, fields[1], time.Now())
+		s.refused = false
 		answered := s.admitQuery(fields[1], fields[2])
-		in.group.endRun(fields[1], run, answered, time.Now())
+		in.group.endRun(fields[1], run, answered, s.refused, time.Now())
 		if !answered {
 			return
 		}
@@ -276,8 +279,13 @@
 	delete(in.conns, c)
 }
 
+// refusals are the errors that say that a statement did not run.
+var refusals = []string{"ERR BUSY", "ERR LAGGING", "ERR RDONLY", "ERR NOSTMT"}
+
 func (s *session) writeLine(format string, args ...any) {
-	fmt.Fprintf(s.w, format+"\r\n", args...)
+	line := fmt.Sprintf(format, args...)
+	s.refused = s.refused || slices.ContainsFunc(refusals, func(code string) bool { return strings.HasPrefix(line, code) })
+	_, _ = s.w.WriteString(line + "\r\n")
 	s.w.Flush()
 }
 
--- a/internal/backend/mimic/run.go
+++ b/internal/backend/mimic/run.go
@@ -17,6 +17,8 @@
 	// EndedAt is when the answer was sent or the instance broke off; it is zero before that.
 	EndedAt  time.Time
 	BrokeOff bool
+	// Refused is set if the instance answered that it did not run the statement.
+	Refused bool
 	// Account is the account that the startup of the connection named.
 	Account string
 }
@@ -42,14 +44,16 @@
 	return len(g.runs[id]) - 1
 }
 
-// endRun records the end of a run. answered is false if the instance closes the connection instead.
-func (g *Group) endRun(id string, index int, answered bool, now time.Time) {
+// endRun records the end of a run. answered is false if the instance closes the connection instead, refused is
+// set if it answered that the statement did not run.
+func (g *Group) endRun(id string, index int, answered, refused bool, now time.Time) {
 	if index < 0 {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.runs[id][index].EndedAt, g.runs[id][index].BrokeOff = now, !answered
+	run := &g.runs[id][index]
+	run.EndedAt, run.BrokeOff, run.Refused = now, !answered, refused
 }
 
 // writeRows answers a read of an item "large:KILOBYTES" with rows of that total size. It releases the
--- a/internal/control/leader/leader__platform.go
+++ b/internal/control/leader/leader__platform.go
@@ -136,7 +136,7 @@
 			l.copiesByGroup[g.Name] = g.SyncReplicas
 		}
 	}
-	l.shares.SetAccounts(l.accounts)
+	l.shares.SetAccounts(l.Now(), l.accounts)
 }
 
 // inForceOnEntryHosts reports whether each entry host has confirmed a revision or has no lease. The
--- a/internal/control/leader/leader__shares.go
+++ b/internal/control/leader/leader__shares.go
@@ -33,12 +33,18 @@
 				l.shares.Unreported[r.Name] = shareHost(r.Name, r.Host)
 			}
 		}
-		l.loadManifest(s)
-		l.shares.SetAccounts(l.accounts)
+		l.shares.FirstManifest = s.Get(spec.Manifests, spec.CurrentManifest) == nil
+		l.shares.SetAccounts(l.Now(), l.declaredAccounts(s))
 		l.updateShares(s)
 	})
 }
 
+// declaredAccounts returns the accounts of the manifest. The caller holds mu.
+func (l *Leader) declaredAccounts(s *state.State) []spec.Account {
+	l.loadManifest(s)
+	return l.accounts
+}
+
 // updateShares passes the declared accounts, and the hosts that send most statements, on to the allocator.
 // The caller holds mu.
 func (l *Leader) updateShares(s *state.State) {
--- a/internal/control/share/alloc.go
+++ b/internal/control/share/alloc.go
@@ -27,12 +27,16 @@
 	// Unreported are the hosts that were registered at the election and may hold shares of a former leader,
 	// by name. The allocator removes those that have reported.
 	Unreported map[string]Host
+	// FirstManifest is set if there was no manifest at the election.
+	FirstManifest bool
 	// StandingOnly is set if only the standing hosts hold shares.
 	StandingOnly bool
 	// OnChange, if set, is called with each change of a share that is decided.
 	OnChange func(account, host string, from, to uint32)
 
 	accounts map[string]*limit
+	// known is set once the accounts at the election are.
+	known bool
 	// standing are the names of the hosts that hold shares without demand.
 	standing map[string]bool
 	// holders are the hosts that have reported, by name and instance.
@@ -125,8 +129,12 @@
 	return len(s.issues) == 0
 }
 
-// SetAccounts replaces the declared accounts, whose limits guide the division.
-func (a *Allocator) SetAccounts(list []spec.Account) {
+// SetAccounts replaces the declared accounts, whose limits guide the division. An account that is certainly
+// new starts with its whole capacity: no leader has known it within a window, or there was no manifest
+// at the election, after which the first call must set the accounts of that time.
+func (a *Allocator) SetAccounts(now time.Time, list []spec.Account) {
+	fresh := a.known && (a.FirstManifest || now.Sub(a.ElectedAt) >= Term+a.Tolerance.Window)
+	a.known = true
 	if a.accounts == nil {
 		a.accounts = map[string]*limit{}
 	}
@@ -136,7 +144,11 @@
 			continue
 		}
 		declared[d.Name] = true
+		added := fresh && a.accounts[d.Name] == nil
 		l := a.limit(d.Name)
+		if added {
+			l.tokens = a.Tolerance.Capacity(d)
+		}
 		if l.declared.Rate != d.Rate || l.declared.Burst != d.Burst {
 			a.replan(d.Name, l)
 		}
@@ -147,10 +159,8 @@
 			continue
 		}
 		l.declared = spec.Account{}
+		// The account stays known, so that it is not new if it is declared again.
 		delete(a.exhausted, name)
-		if len(l.held) == 0 {
-			delete(a.accounts, name)
-		}
 	}
 }
 
--- a/internal/control/share/holder.go
+++ b/internal/control/share/holder.go
@@ -58,6 +58,8 @@
 	urgedAt time.Time
 	// exhausted are the accounts that have used up their limits on all hosts.
 	exhausted map[string]bool
+	// granted is set once a leader has answered with shares.
+	granted bool
 }
 
 // sentReport is a report whose answer is pending.
@@ -69,10 +71,11 @@
 // account is the state of one account at a holder.
 type account struct {
 	limit spec.Account
-	// declared is set while the manifest has the account.
-	declared bool
-	share    uint32
-	bucket   bucket
+	// declared is set while the manifest has the account, since declaredAt.
+	declared   bool
+	declaredAt time.Time
+	share      uint32
+	bucket     bucket
 	// expiries counts the expiries of the share: tokens reserved before one do not come back.
 	expiries int
 	// demand is the mean number of operations asked for per second, at demandAt, and asked their number
@@ -119,11 +122,15 @@
 func (h *Holder) SetAccounts(now time.Time, list []spec.Account) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	former := map[*account]bool{}
 	for _, a := range h.accounts {
-		a.declared = false
+		former[a], a.declared = a.declared, false
 	}
 	for _, limit := range list {
 		a := h.account(limit.Name)
+		if !former[a] {
+			a.declaredAt = now
+		}
 		a.limit, a.declared = limit, true
 		h.resize(now, a)
 	}
@@ -187,6 +194,15 @@
 	return Claim{}, result
 }
 
+// Awaits reports whether the first share of an account at this host is on its way: the host has just started,
+// or the account was just declared. An operation is better held for that moment than refused.
+func (h *Holder) Awaits(now time.Time, name string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a := h.accounts[name]
+	return a != nil && a.declared && a.share == 0 && (!h.granted || now.Sub(a.declaredAt) < firstShareWait)
+}
+
 // countRefusal counts a refusal, and passes on a summary if one is due. The caller holds mu.
 func (h *Holder) countRefusal(now time.Time, name string, a *account, result Result) {
 	a.refusedTotal++
@@ -356,6 +372,7 @@
 	if report.epoch != h.epoch || g.Report || !h.succeeds(g) {
 		return false
 	}
+	h.granted = true
 	changed := h.version < g.Version
 	if changed {
 		h.applyShares(now, g)
--- a/internal/control/share/share.go
+++ b/internal/control/share/share.go
@@ -38,6 +38,9 @@
 	urgentInterval = 100 * time.Millisecond
 	// refusalInterval is the least time between two summaries of an account's refusals.
 	refusalInterval = 5 * time.Second
+	// firstShareWait is how long after its declaration an account's first share may take: two renewals and
+	// a plan.
+	firstShareWait = 800 * time.Millisecond
 	// minDemand is the demand below which an account counts as idle, in operations per second.
 	minDemand = 0.02
 	// refreshInterval is the longest time between two reports on an account that is not idle, and
--- a/internal/tools/node/limit_integration_test.go
+++ b/internal/tools/node/limit_integration_test.go
@@ -70,7 +70,9 @@
 			var runs []run
 			for _, s := range sent {
 				for _, r := range c.group.Runs(s.id) {
-					runs = append(runs, run{s.sentAt, r.ArrivedAt})
+					if !r.Refused {
+						runs = append(runs, run{s.sentAt, r.ArrivedAt})
+					}
 				}
 			}
 			So(odd, ShouldBeEmpty)
--- a/internal/tools/soak/account.go
+++ b/internal/tools/soak/account.go
@@ -219,7 +219,7 @@
 			case s.Key == spareKey && h.spareKeyInvalid(s.SentAt):
 				violations = append(violations, fmt.Sprintf("statement %s ran with a key that was taken away", s.ID))
 			}
-			if s.Account == accountHot {
+			if s.Account == accountHot && !r.Refused {
 				arrivals = append(arrivals, r.ArrivedAt)
 			}
 		}
--- a/internal/traffic/topo/limited.go
+++ b/internal/traffic/topo/limited.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/agatespindle/agatespindle/internal/base/clock"
 	"github.com/agatespindle/agatespindle/internal/base/fault"
 	"github.com/agatespindle/agatespindle/internal/control/share"
 	"github.com/agatespindle/agatespindle/internal/traffic/flow"
@@ -25,6 +26,9 @@
 	pool.Handle
 	member  *Member
 	account string
+	// ctx and deadline end the wait for the account's first share.
+	ctx      context.Context
+	deadline time.Time
 	// admitted is set once a request has run.
 	admitted bool
 }
@@ -38,7 +42,29 @@
 	if err != nil || prio.Account == "" || m.topology.Shares == nil {
 		return h, err
 	}
-	return &limitedHandle{Handle: h, member: m, account: prio.Account}, nil
+	deadline := m.topology.Now().Add(min(waitLimit, maxShareWait))
+	return &limitedHandle{Handle: h, member: m, account: prio.Account, ctx: ctx, deadline: deadline}, nil
+}
+
+const (
+	// maxShareWait is how long an operation waits for the first share of its account at a control host.
+	maxShareWait = 250 * time.Millisecond
+	// sharePollInterval is the time between two looks for it.
+	sharePollInterval = 10 * time.Millisecond
+)
+
+// take admits the operation or refuses it. At a host that holds shares for all, it first waits for a share
+// that is on its way: the account was just declared, or the host has just started.
+func (h *limitedHandle) take() (share.Claim, share.Result) {
+	t := h.member.topology
+	for {
+		now := t.Now()
+		claim, result := t.Shares.Take(now, h.account)
+		if result != share.NoShare || !t.LendOnly || !now.Before(h.deadline) || !t.Shares.Awaits(now, h.account) || h.ctx.Err() != nil {
+			return claim, result
+		}
+		clock.Sleep(h.ctx, sharePollInterval)
+	}
 }
 
 // Run implements pool.Handle. A request of an account that has used up its limit has an answer with code
@@ -48,7 +74,7 @@
 		return h.Handle.Run(timeout, values, req, last)
 	}
 	t := h.member.topology
-	claim, result := t.Shares.Take(t.Now(), h.account)
+	claim, result := h.take()
 	switch result {
 	case share.Limited:
 		t.Meter.AddCounter("limits.refused.limited", 1)
