topo, flow: Show the largest accounts in one place, count an answer's rows in one

Two parts built side by side each set and removed the gauges of the largest accounts, and each summed the bytes of an answer's rows. Behaviour is as it was: vet, staticcheck and the tests of topo, lend, flow, front and sess pass.

--- a/internal/traffic/flow/flow.go
+++ b/internal/traffic/flow/flow.go
@@ -161,6 +161,15 @@
 	Position token.Position
 }
 
+// RowBytes returns the number of bytes of the rows.
+func (a Answer) RowBytes() int {
+	n := 0
+	for _, row := range a.Rows {
+		n += len(row)
+	}
+	return n
+}
+
 // SuccessAnswer returns an OK answer without rows, for statements that the proxy handles itself.
 func SuccessAnswer(st State) Answer { return Answer{State: st} }
 
--- a/internal/traffic/front/inbox.go
+++ b/internal/traffic/front/inbox.go
@@ -162,10 +162,7 @@
 // host has no memory for it: then the connection is closed without the answer. c.mu must be held.
 func (c *caller) holdsAnswer(a flow.Answer) bool {
 	c.claim.Force(bounds.Running, 0)
-	size := len(a.Text)
-	for _, row := range a.Rows {
-		size += len(row)
-	}
+	size := len(a.Text) + a.RowBytes()
 	if size <= smallAnswer || c.claim.Set(bounds.Unsent, int64(answerCopies*size)) {
 		return true
 	}
--- a/internal/traffic/lend/lend.go
+++ b/internal/traffic/lend/lend.go
@@ -307,13 +307,7 @@
 }
 
 // answerBytes returns the number of bytes that an answer takes until it is sent, as read and encoded.
-func answerBytes(a flow.Answer) int64 {
-	n := 0
-	for _, row := range a.Rows {
-		n += len(row)
-	}
-	return int64(2 * n)
-}
+func answerBytes(a flow.Answer) int64 { return int64(2 * a.RowBytes()) }
 
 // returnsConnection reports whether the connection returns to the lender after an answer. Lender and
 // borrower must agree, so both use this function.
--- a/internal/traffic/topo/accounts.go
+++ b/internal/traffic/topo/accounts.go
@@ -32,16 +32,22 @@
 			m.CountByAccount(counts)
 		}
 	}
+	t.accountMetrics = t.showLargest(accountMetricPrefix, counts, t.accountMetrics)
+}
+
+// showLargest sets the gauges with a prefix to the counts of the largest accounts, and removes those that were
+// shown last and no longer are. It returns what is shown.
+func (t *Topology) showLargest(prefix string, counts, last map[string]int) map[string]int {
 	shown := LargestAccounts(counts, namedAccounts)
-	for name := range t.accountMetrics {
+	for name := range last {
 		if _, ok := shown[name]; !ok {
-			t.Meter.RemoveGauge(accountMetricPrefix + name)
+			t.Meter.RemoveGauge(prefix + name)
 		}
 	}
-	t.accountMetrics = shown
 	for name, n := range shown {
-		t.Meter.SetGauge(accountMetricPrefix+name, int64(n))
+		t.Meter.SetGauge(prefix+name, int64(n))
 	}
+	return shown
 }
 
 // LargestAccounts returns the counts of the n accounts with the highest ones, by the names that metrics use,
--- a/internal/traffic/topo/limited.go
+++ b/internal/traffic/topo/limited.go
@@ -100,14 +100,5 @@
 	t.limitsReportedAt = now
 	counts := map[string]int{}
 	t.Shares.CountRefusals(counts)
-	shown := LargestAccounts(counts, namedAccounts)
-	for name := range t.limitMetrics {
-		if _, ok := shown[name]; !ok {
-			t.Meter.RemoveGauge(limitMetricPrefix + name)
-		}
-	}
-	t.limitMetrics = shown
-	for name, n := range shown {
-		t.Meter.SetGauge(limitMetricPrefix+name, int64(n))
-	}
+	t.limitMetrics = t.showLargest(limitMetricPrefix, counts, t.limitMetrics)
 }
