mimic: Give each execution a proof of its own

The stand-in answered every statement with one and the same proof, so that no test could tell an answer from the answer to another statement. No check changes: tests of front, lend, pool, sess, backend and platform pass.

--- a/internal/backend/mimic/instance.go
+++ b/internal/backend/mimic/instance.go
@@ -47,6 +47,8 @@
 	// executed is the number of statements that got a slot, refused of those answered BUSY.
 	executed atomic.Int64
 	refused  atomic.Int64
+	// proofs is the number of proofs given; each execution gets its own.
+	proofs atomic.Int64
 	// slotNanos is the total time for which slots were occupied, in nanoseconds.
 	slotNanos atomic.Int64
 }
@@ -459,10 +461,10 @@
 	return true
 }
 
-// writeDone sends the response that ends a successful statement, with a placeholder as the token. It
+// writeDone sends the response that ends a successful statement, with a proof of this execution. It
 // returns true, as the connection stays open.
 func (s *session) writeDone() bool {
-	s.writeLine("DONE 7.proof")
+	s.writeLine("DONE %s.%d", s.in.Name, s.in.proofs.Add(1))
 	s.writeReady()
 	return true
 }
