mimic: End lines at CR LF and keep the bytes of fields

The stand-in ended a line at LF and trimmed every CR and LF from it, as the product does, so that tests of both ends agreed with each other and not with the protocol: a line ends at CR LF, its last field runs to its end, and nothing is trimmed. A STARTUP line is split at blanks only, its last field included.

Evidence: TestInstanceKeepsTheBytesOfFields on the code before, with raw sockets: `WRITE k a\nb`, `READ k` gave "READY I 1.0\r\nDONE i.1\r\nREADY I 1.1\r\n" and the end of the connection; now the row a\nb comes back. No logic of the product changes.

--- a/internal/backend/mimic/instance.go
+++ b/internal/backend/mimic/instance.go
@@ -216,11 +216,11 @@
 func (in *Instance) serve(c net.Conn) {
 	r := bufio.NewReader(c)
 	s := &session{in: in, w: bufio.NewWriter(c), prepared: map[string]string{}, settings: map[string]string{}}
-	line, err := readLine(r)
+	line, err := ReadLine(r)
 	if err != nil {
 		return
 	}
-	fields := strings.Fields(line)
+	fields := strings.SplitN(line, " ", 4)
 	if len(fields) < 3 || fields[0] != "STARTUP" || fields[1] != in.group.Name || (len(fields) > 3 && fields[3] != in.Name) {
 		s.writeLine("ERR WRONGNODE %s", in.Name)
 		return
@@ -237,7 +237,7 @@
 	s.writeReady()
 	in.group.mu.Unlock()
 	for {
-		line, err := readLine(r)
+		line, err := ReadLine(r)
 		if err != nil {
 			return
 		}
@@ -256,12 +256,6 @@
 	}
 }
 
-// readLine reads a line and strips its end-of-line characters.
-func readLine(r *bufio.Reader) (string, error) {
-	line, err := r.ReadString('\n')
-	return strings.TrimRight(line, "\r\n"), err
-}
-
 // register adds a connection. It returns false if the instance has crashed or has MaxConns
 // connections.
 func (in *Instance) register(c net.Conn) bool {
@@ -287,7 +281,7 @@
 func (s *session) writeLine(format string, args ...any) {
 	line := fmt.Sprintf(format, args...)
 	s.refused = s.refused || slices.ContainsFunc(refusals, func(code string) bool { return strings.HasPrefix(line, code) })
-	_, _ = s.w.WriteString(line + "\r\n")
+	_, _ = s.w.WriteString(line + lineEnd)
 	s.w.Flush()
 }
 
@@ -419,12 +413,12 @@
 		if g.primary == s.in {
 			role = "primary"
 		}
-		fmt.Fprintf(s.w, "ROW %s %d %s 0 0 0 %d\r\n", role, s.in.term, s.in.lastPosition(), len(s.in.conns))
+		s.writeLine("ROW %s %d %s 0 0 0 %d", role, s.in.term, s.in.lastPosition(), len(s.in.conns))
 	case "EXEC":
 		return s.executePrepared(id, rest, entries)
 	case "READ":
 		if name, ok := strings.CutPrefix(rest, "value:"); ok {
-			fmt.Fprintf(s.w, "ROW %s\r\n", s.settings[name])
+			s.writeLine("ROW %s", s.settings[name])
 			return s.writeDone()
 		}
 		if size, ok := strings.CutPrefix(rest, "large:"); ok {
@@ -494,7 +488,7 @@
 			value = w.data
 		}
 	}
-	fmt.Fprintf(s.w, "ROW %s\r\n", value)
+	s.writeLine("ROW %s", value)
 	return s.writeDone()
 }
 
