mimic: Send a share of the answers a second time

SetStutter sets per instance which share of the answers to statements is sent again, in whole and never inside another answer: those with a proof, internal ones and errors.

Without SetStutter nothing changes.

--- a/internal/backend/mimic/instance.go
+++ b/internal/backend/mimic/instance.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"strconv"
@@ -49,6 +50,10 @@
 	refused  atomic.Int64
 	// proofs is the number of proofs given; each execution gets its own.
 	proofs atomic.Int64
+	// stutter is an injected fault, stutterRNG draws for it, and secondAnswers counts what it caused.
+	stutter       Stutter
+	stutterRNG    *rand.Rand
+	secondAnswers atomic.Int64
 	// slotNanos is the total time for which slots were occupied, in nanoseconds.
 	slotNanos atomic.Int64
 }
@@ -199,7 +204,13 @@
 // session is the protocol state of one client connection.
 type session struct {
 	in *Instance
-	w  *bufio.Writer
+	// out is held while an answer is written to w.
+	out sync.Mutex
+	w   *bufio.Writer
+	// answering is set while the present answer is written. answer has its bytes so far, or the first ones
+	// if they exceed stutterBytes.
+	answering bool
+	answer    []byte
 	// refused is set if the present statement was answered with one of refusals.
 	refused bool
 	// account is the account that the startup named.
@@ -236,6 +247,7 @@
 	in.group.mu.Lock()
 	s.writeReady()
 	in.group.mu.Unlock()
+	s.endAnswer()
 	for {
 		line, err := ReadLine(r)
 		if err != nil {
@@ -250,9 +262,11 @@
 		s.refused = false
 		answered := s.admitQuery(fields[1], fields[2])
 		in.group.endRun(fields[1], run, answered, s.refused, time.Now())
+		s.endAnswer()
 		if !answered {
 			return
 		}
+		s.stutter()
 	}
 }
 
@@ -275,30 +289,6 @@
 	delete(in.conns, c)
 }
 
-// refusals are the errors that say that a statement did not run.
-var refusals = []string{"ERR BUSY", "ERR LAGGING", "ERR RDONLY", "ERR NOSTMT"}
-
-func (s *session) writeLine(format string, args ...any) {
-	line := fmt.Sprintf(format, args...)
-	s.refused = s.refused || slices.ContainsFunc(refusals, func(code string) bool { return strings.HasPrefix(line, code) })
-	_, _ = s.w.WriteString(line + lineEnd)
-	s.w.Flush()
-}
-
-// writeReady sends the transaction state and the applied position. The caller holds the group's
-// mu.
-func (s *session) writeReady() {
-	txState := "I"
-	switch {
-	case s.txFailed:
-		txState = "E"
-	case s.inTx:
-		txState = "T"
-	}
-	_, position := s.in.applied(time.Now())
-	s.writeLine("READY %s %s", txState, position)
-}
-
 // takesSlot reports whether a statement needs an execution slot.
 func takesSlot(text string) bool {
 	if rest, ok := strings.CutPrefix(text, "AFTER "); ok {
@@ -446,23 +436,6 @@
 
 func (s *session) endTx() { s.inTx, s.txFailed, s.txWrites = false, false, nil }
 
-// writeError sends an error code and marks an open transaction as failed. It returns true, as the
-// connection stays open.
-func (s *session) writeError(code string) bool {
-	s.txFailed = s.inTx
-	s.writeLine("ERR %s %s", code, s.in.Name)
-	s.writeReady()
-	return true
-}
-
-// writeDone sends the response that ends a successful statement, with a proof of this execution. It
-// returns true, as the connection stays open.
-func (s *session) writeDone() bool {
-	s.writeLine("DONE %s.%d", s.in.Name, s.in.proofs.Add(1))
-	s.writeReady()
-	return true
-}
-
 // executePrepared runs a prepared read or write with its arguments.
 func (s *session) executePrepared(id, rest string, entries []entry) bool {
 	name, args, _ := strings.Cut(rest, " ")
