--- a/internal/backend/mimic/answer.go
+++ b/internal/backend/mimic/answer.go
@@ -106,10 +106,17 @@
 	return true
 }
 
+// writeRow sends a row of the present answer.
+func (s *session) writeRow(row string) {
+	s.rows = append(s.rows, row)
+	s.writeLine("ROW %s", row)
+}
+
 // writeDone sends the response that ends a successful statement, with a proof of this execution. It
 // returns true, as the connection stays open.
 func (s *session) writeDone() bool {
-	s.writeLine("DONE %s.%d", s.in.Name, s.in.proofs.Add(1))
+	s.proof = fmt.Sprintf("%s.%d", s.in.Name, s.in.proofs.Add(1))
+	s.writeLine("DONE %s", s.proof)
 	s.writeReady()
 	return true
 }
--- a/internal/backend/mimic/group.go
+++ b/internal/backend/mimic/group.go
@@ -61,8 +61,10 @@
 	// AccountOfKey, if set, has the client accounts of the keys that callers use. Instances then record who
 	// connects to them.
 	AccountOfKey map[string]string
-	// RecordRuns makes Runs available.
+	// RecordRuns makes Runs and AllRuns available.
 	RecordRuns bool
+	// Initial has the data of items that no write has set.
+	Initial map[string]string
 
 	// mu also guards the term, log, fault flags and connections of the instances.
 	mu           sync.Mutex
@@ -78,6 +80,8 @@
 	passedKeys []string
 	// runs are the executions of statements by id.
 	runs map[string][]Run
+	// strays describes the lines that instances should not have got.
+	strays []string
 }
 
 // LateRequests returns a description of each request that reached an instance later than LeaveBound
@@ -235,8 +239,8 @@
 	return in.log[:n], in.log[n-1].position
 }
 
-// itemValue returns the last value written to an item in the entries, or "none".
-func itemValue(entries []entry, item string) string {
+// itemValue returns the last value written to an item in the entries, or else its initial data, or "none".
+func (g *Group) itemValue(entries []entry, item string) string {
 	for i := len(entries) - 1; i >= 0; i-- {
 		for j := len(entries[i].writes) - 1; j >= 0; j-- {
 			if w := entries[i].writes[j]; w.item == item {
@@ -244,5 +248,8 @@
 			}
 		}
 	}
+	if data, ok := g.Initial[item]; ok {
+		return data
+	}
 	return "none"
 }
--- a/internal/backend/mimic/instance.go
+++ b/internal/backend/mimic/instance.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -213,6 +214,9 @@
 	answer    []byte
 	// refused is set if the present statement was answered with one of refusals.
 	refused bool
+	// proof and rows are what the present answer held so far.
+	proof string
+	rows  []string
 	// account is the account that the startup named.
 	account  string
 	inTx     bool
@@ -220,7 +224,7 @@
 	txFailed bool
 	txWrites []write           // writes of the open transaction
 	prepared map[string]string // statement text by name
-	settings map[string]string // session values of SET by name
+	settings map[string]string // session values of SET by name; replaced when one changes
 }
 
 // serve performs the startup of a connection and answers its queries until it ends.
@@ -255,13 +259,16 @@
 		}
 		fields := strings.SplitN(line, " ", 3)
 		if len(fields) < 3 || fields[0] != "QUERY" {
+			if line != "QUIT" {
+				in.group.recordStray(in.Name, line)
+			}
 			return
 		}
 		s.recordArrival(fields[1], fields[2])
-		run := in.group.startRun(in.Name, s.account, fields[1], time.Now())
-		s.refused = false
+		run := s.startRun(fields[1], fields[2], time.Now())
+		s.refused, s.proof, s.rows = false, "", nil
 		answered := s.admitQuery(fields[1], fields[2])
-		in.group.endRun(fields[1], run, answered, s.refused, time.Now())
+		s.endRun(fields[1], run, answered, time.Now())
 		s.endAnswer()
 		if !answered {
 			return
@@ -291,9 +298,7 @@
 
 // takesSlot reports whether a statement needs an execution slot.
 func takesSlot(text string) bool {
-	if rest, ok := strings.CutPrefix(text, "AFTER "); ok {
-		_, text, _ = strings.Cut(rest, " ")
-	}
+	_, text = cutPosition(text)
 	verb, _, _ := strings.Cut(text, " ")
 	return verb == "READ" || verb == "WRITE" || verb == "EXEC" || verb == "COMMIT" || verb == "STAT"
 }
@@ -372,12 +377,9 @@
 		return false
 	}
 	entries, position := s.in.applied(time.Now())
-	if rest, ok := strings.CutPrefix(text, "AFTER "); ok {
-		minPosition, statement, _ := strings.Cut(rest, " ")
-		if position.before(parsePosition(minPosition)) {
-			return s.writeError("LAGGING")
-		}
-		text = statement
+	minPosition, text := cutPosition(text)
+	if minPosition != "" && position.before(parsePosition(minPosition)) {
+		return s.writeError("LAGGING")
 	}
 	verb, rest, _ := strings.Cut(text, " ")
 	switch verb {
@@ -394,6 +396,7 @@
 		s.prepared, s.settings = map[string]string{}, map[string]string{}
 	case "SET":
 		name, value, _ := strings.Cut(rest, " ")
+		s.settings = maps.Clone(s.settings)
 		s.settings[name] = value
 	case "PREPARE":
 		name, statementText, _ := strings.Cut(rest, " ")
@@ -408,7 +411,7 @@
 		return s.executePrepared(id, rest, entries)
 	case "READ":
 		if name, ok := strings.CutPrefix(rest, "value:"); ok {
-			s.writeLine("ROW %s", s.settings[name])
+			s.writeRow(s.settings[name])
 			return s.writeDone()
 		}
 		if size, ok := strings.CutPrefix(rest, "large:"); ok {
@@ -455,13 +458,13 @@
 	if s.inTx && !s.readOnly && s.in.group.primary != s.in {
 		return s.writeError("RDONLY")
 	}
-	value := itemValue(entries, item)
+	value := s.in.group.itemValue(entries, item)
 	for _, w := range s.txWrites {
 		if w.item == item {
 			value = w.data
 		}
 	}
-	s.writeLine("ROW %s", value)
+	s.writeRow(value)
 	return s.writeDone()
 }
 
