soak: Judge what ran and what callers got, with any bytes and stutter

The soak compared values and outcomes only. Transactions are judged as one attempt.

Callers can send any bytes that the protocol allows, in ids, items, data, names, shapes, session values and prepared arguments, and lines of the protocol among them; instances can stutter (-soak.odd, -soak.stutter, both off for TestSoak, whose runs stay as they were).

--- a/internal/tools/soak/caller.go
+++ b/internal/tools/soak/caller.go
@@ -2,16 +2,20 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
+	"unique"
 
+	"github.com/agatespindle/agatespindle/internal/backend/mimic"
 	"github.com/agatespindle/agatespindle/internal/base/clock"
 )
 
@@ -27,6 +31,9 @@
 // errSessionRefused reports that a host did not answer STARTUP with READY.
 var errSessionRefused = errors.New("entry host refused the session")
 
+// errNoAnswer reports a line that has no place in an answer.
+var errNoAnswer = errors.New("entry host sent a line that has no place in an answer")
+
 // session is a caller's connection to an entry host.
 type session struct {
 	conn net.Conn
@@ -35,8 +42,12 @@
 	template Statement
 	// pending are the statements without an answer, in the order in which they were sent.
 	pending []Statement
-	// record receives each statement that was sent completely, once it has ended.
-	record func(Statement)
+	// wl records the statements that were sent, and those sent completely once they have ended.
+	wl *workload
+	// want, if set, is the row that the next statement's success has to hold.
+	want *string
+	// prepared are the shapes that were acknowledged, by name.
+	prepared map[string]string
 	// pause, if set, is waited for between two chunks of an answer.
 	pause time.Duration
 }
@@ -60,11 +71,11 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &session{conn: conn, template: Statement{Host: wl.hostNames[host], Caller: kind, Account: account, Key: key, OpenedAt: time.Now()}, record: wl.recordStatement}
+	s := &session{conn: conn, template: Statement{Host: wl.hostNames[host], Caller: kind, Account: account, Key: key, OpenedAt: time.Now()}, wl: wl, prepared: map[string]string{}}
 	s.r = bufio.NewReaderSize(slowReader{s}, 64<<10)
 	_ = conn.SetDeadline(time.Now().Add(callerTimeout))
 	fmt.Fprintf(conn, "STARTUP %s %s\r\n", database, key)
-	line, err := s.r.ReadString('\n')
+	line, err := mimic.ReadLine(s.r)
 	if err != nil || !strings.HasPrefix(line, "READY I") {
 		conn.Close()
 		return nil, errSessionRefused
@@ -91,43 +102,75 @@
 
 // send sends the same statement under each of the ids and reports whether that succeeded.
 func (s *session) send(ids []string, text string) bool {
+	if b, _ := s.r.Peek(s.r.Buffered()); len(s.pending) == 0 && len(b) > 0 && !bytes.HasPrefix(b, []byte("ERR ")) {
+		s.wl.recordExtra(fmt.Sprintf("%s sent %q while no statement waited", s.template.Host, b))
+	}
 	var b strings.Builder
+	var sent []Statement
 	for _, id := range ids {
 		fmt.Fprintf(&b, "QUERY %s %s\r\n", id, text)
+		sent = append(sent, s.statement(id, text))
 	}
+	s.wl.recordSent(sent)
+	s.want = nil
 	_ = s.conn.SetDeadline(time.Now().Add(callerTimeout))
 	if _, err := s.conn.Write([]byte(b.String())); err != nil {
 		return false
 	}
-	for _, id := range ids {
-		st := s.template
-		st.ID, st.Text, st.SentAt = id, text, time.Now()
+	now := time.Now()
+	for _, st := range sent {
+		st.SentAt = now
 		s.pending = append(s.pending, st)
 	}
 	return true
 }
 
+// statement returns a statement that is about to be sent.
+func (s *session) statement(id, text string) Statement {
+	st := s.template
+	st.ID, st.Text, st.Want = id, text, s.want
+	verb, rest, _ := strings.Cut(text, " ")
+	if verb == "EXEC" {
+		name, _, _ := strings.Cut(rest, " ")
+		st.Shape = s.prepared[name]
+	}
+	if !st.InTransaction {
+		st.Attempt = id
+	}
+	if verb == "BEGIN" {
+		s.template.Attempt = id
+	}
+	return st
+}
+
 // receive waits for the answer to the first pending statement. It returns the answer's last row, its
 // outcome, and whether the session can still be used.
 func (s *session) receive() (row string, out Outcome, usable bool) {
 	_ = s.conn.SetReadDeadline(time.Now().Add(callerTimeout))
+	st, ended := &s.pending[0], false
 	for {
-		line, err := s.r.ReadString('\n')
+		line, err := mimic.ReadLine(s.r)
 		if err != nil {
 			s.endPending(err)
 			return "", MayHaveRun, false
 		}
-		word, rest, _ := strings.Cut(strings.TrimRight(line, "\r\n"), " ")
-		switch word {
-		case "ROW":
-			row = rest
-		case "DONE":
-			out = Acked
-		case "ERR":
-			out = outcomeOfError(rest)
-		case "READY":
+		word, rest, _ := strings.Cut(line, " ")
+		switch {
+		case word == "ROW" && !ended:
+			row = unique.Make(rest).Value()
+			st.Rows = append(st.Rows, row)
+		case word == "DONE" && !ended:
+			out, st.Proof, ended = Acked, rest, true
+		case word == "ERR" && !ended:
+			out, ended = outcomeOfError(rest), true
+		case word == "READY" && ended:
+			st.Outcome = out
 			s.endFirst(rest)
 			return row, out, !strings.HasPrefix(rest, "E")
+		default:
+			s.wl.recordExtra(fmt.Sprintf("%s sent %q within the answer to %s", s.template.Host, line, st.ID))
+			s.endPending(errNoAnswer)
+			return "", MayHaveRun, false
 		}
 	}
 }
@@ -137,14 +180,35 @@
 	now := time.Now()
 	st := s.pending[0]
 	st.Ending, st.EndedAt = Answered, now
-	s.record(st)
+	s.wl.recordStatement(st)
 	s.pending = s.pending[1:]
-	s.template.InTransaction = strings.HasPrefix(state, "T")
+	s.template.InTransaction = !strings.HasPrefix(state, "I")
+	if st.Outcome == Acked {
+		s.apply(st.Text)
+	}
 	if len(s.pending) > 0 {
 		s.pending[0].FirstAt = now
 	}
 }
 
+// apply keeps what an acknowledged statement does to the session.
+func (s *session) apply(text string) {
+	verb, rest, _ := strings.Cut(text, " ")
+	name, value, _ := strings.Cut(rest, " ")
+	switch verb {
+	case "SET":
+		s.template.Values = maps.Clone(s.template.Values)
+		if s.template.Values == nil {
+			s.template.Values = map[string]string{}
+		}
+		s.template.Values[name] = value
+	case "PREPARE":
+		s.prepared[name] = value
+	case "CLOSE":
+		delete(s.prepared, name)
+	}
+}
+
 // endPending records that the pending statements get no answer.
 func (s *session) endPending(err error) {
 	ending := ConnectionEnded
@@ -157,7 +221,7 @@
 		if i > 0 {
 			st.FirstAt = now
 		}
-		s.record(st)
+		s.wl.recordStatement(st)
 	}
 	s.pending = nil
 }
@@ -182,6 +246,8 @@
 	stay bool
 	// accounts is set if callers belong to client accounts.
 	accounts bool
+	// initial has the items that exist from the start.
+	initial map[string]string
 
 	mu      sync.Mutex
 	history History
@@ -334,3 +400,22 @@
 	defer wl.mu.Unlock()
 	wl.history.Statements = append(wl.history.Statements, st)
 }
+
+// recordSent adds statements that are about to be sent to the history.
+func (wl *workload) recordSent(sent []Statement) {
+	wl.mu.Lock()
+	defer wl.mu.Unlock()
+	if wl.history.Sent == nil {
+		wl.history.Sent = map[string]Statement{}
+	}
+	for _, st := range sent {
+		wl.history.Sent[st.ID] = st
+	}
+}
+
+// recordExtra adds a description of bytes that belong to no answer to the history.
+func (wl *workload) recordExtra(what string) {
+	wl.mu.Lock()
+	defer wl.mu.Unlock()
+	wl.history.Extra = append(wl.history.Extra, what)
+}
--- a/internal/tools/soak/check.go
+++ b/internal/tools/soak/check.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/agatespindle/agatespindle/internal/backend/mimic"
 )
 
 // Outcome is what a caller was told about a statement.
@@ -62,6 +64,14 @@
 	// SpareKey and Limits are the declarations of the spare key and of the hot account's limit, in order.
 	SpareKey []KeyChange
 	Limits   []AccountLimit
+	// Sent has the statements that callers sent, completely or not, by id. Runs has what instances ran, Committed
+	// how often each write is in the primary's log, and Strays what no instance should have got.
+	Sent      map[string]Statement
+	Runs      map[string][]mimic.Run
+	Committed map[string]int
+	Strays    []string
+	// Extra describes what callers got that belongs to no answer.
+	Extra []string
 	// UnknownKeyAccepted are the hosts that opened a session for a key of no account.
 	UnknownKeyAccepted []string
 }
@@ -97,6 +107,7 @@
 		}
 	}
 	violations = append(violations, h.checkAccounts()...)
+	violations = append(violations, h.checkAnswers()...)
 	cut, _ := h.judgeCuts()
 	return append(violations, cut...)
 }
--- a/internal/tools/soak/cut.go
+++ b/internal/tools/soak/cut.go
@@ -57,6 +57,18 @@
 	EndedAt time.Time
 	// Runs are the executions at instances.
 	Runs []mimic.Run
+	// Attempt is the id of the first statement of the transaction, or of the statement itself.
+	Attempt string
+	// Shape is what the caller prepared under the statement's name, READ or WRITE and the shape.
+	Shape string
+	// Values are the session values that were acknowledged. They must not be changed.
+	Values map[string]string
+	// Want, if set, is the row that a success has to hold.
+	Want *string
+	// Outcome, Proof and Rows are what the answer told.
+	Outcome Outcome
+	Proof   string
+	Rows    []string
 }
 
 // Signal is a planned signal to a host.
--- a/internal/tools/soak/soak.go
+++ b/internal/tools/soak/soak.go
@@ -7,9 +7,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -29,8 +31,10 @@
 	// leaveBound is how long after its announcement an instance that leaves may get new requests. It is
 	// short, so that it passes several times in a run.
 	leaveBound = 2 * time.Second
-	// maxListed is the number of violations that a report lists.
-	maxListed = 40
+	// maxListed is the number of violations of each kind that a report lists.
+	maxListed = 8
+	// stutterDelay limits how late a second answer comes.
+	stutterDelay = 400 * time.Millisecond
 	// statementTime is how long a statement takes, except in runs with planned work.
 	statementTime = 2 * time.Millisecond
 	// pollInterval is the time between two checks of a condition.
@@ -54,6 +58,12 @@
 	Writers      int
 	// FaultDuration is how long faults are injected.
 	FaultDuration time.Duration
+	// OddCallers is the number of callers whose texts hold any bytes that the protocol allows.
+	OddCallers int
+	// Stutter is the share of the instances' answers that is sent a second time.
+	Stutter float64
+	// Calm has no faults injected, apart from Stutter.
+	Calm bool
 	// Planned, if set, replaces the random faults by planned work.
 	Planned *Planned
 	// Logf, if set, logs each fault.
@@ -73,6 +83,10 @@
 	Reads int
 	// Answered is the number of statements with a complete answer.
 	Answered int
+	// Odd is the number of successful statements of callers whose texts hold any bytes.
+	Odd int
+	// SecondAnswers is the number of answers that instances sent a second time.
+	SecondAnswers int
 	// Excused describes the answers cut around planned work for which an exception holds.
 	Excused []string
 	// Violations describes each violated guarantee.
@@ -92,7 +106,9 @@
 	cloud    *mimic.Cloud
 	relays   []*relay
 	// instances are the instances behind the relays, the latest one behind each.
-	instances      [3]*mimic.Instance
+	instances [3]*mimic.Instance
+	// started are all instances that were started.
+	started        []*mimic.Instance
 	workload       workload
 	configVersion  uint64 // version of the configuration sent last
 	faults         int
@@ -128,6 +144,7 @@
 	defer stop()
 	r.workload.stay = r.Planned != nil
 	r.workload.start(workloadCtx, opt.Seed, opt.Writers)
+	r.workload.startOdd(workloadCtx, opt.Seed, opt.OddCallers)
 	if r.accounts != nil {
 		r.declareAccounts(ctx)
 		r.workload.startHot(workloadCtx, opt.Seed)
@@ -156,6 +173,10 @@
 		Name: "ledger", Lag: 30 * time.Millisecond, PromotionDelay: 150 * time.Millisecond, MaxConns: maxConnections,
 		Slots: 2, QueueLimit: 16, StatementTime: statementTime, LeaveBound: leaveBound, RecordRuns: true,
 	}
+	if r.OddCallers > 0 {
+		r.workload.initial = oddItems(r.Seed)
+		r.group.Initial = r.workload.initial
+	}
 	if r.Planned != nil {
 		r.Planned.slowDown(r.group, r.plan.rng)
 	}
@@ -222,7 +243,9 @@
 		return err
 	}
 	instance.HeartbeatAddr = r.relays[i].ln.Addr().String()
+	instance.SetStutter(mimic.Stutter{Share: r.Stutter, MaxDelay: stutterDelay}, r.Seed+uint64(i))
 	r.instances[i] = instance
+	r.started = append(r.started, instance)
 	control := r.controlAddrs()
 	instance.SendHeartbeats(ctx, append(control[i%len(control):len(control):len(control)], control...), 200*time.Millisecond)
 	return nil
@@ -329,6 +352,10 @@
 
 // injectFaults injects faults and ends them until FaultDuration has passed.
 func (r *run) injectFaults(ctx context.Context) {
+	if r.Calm {
+		clock.Sleep(ctx, r.FaultDuration)
+		return
+	}
 	end := time.Now().Add(r.FaultDuration)
 	for time.Now().Before(end) && ctx.Err() == nil {
 		r.injectFault(ctx)
@@ -442,8 +469,15 @@
 		if s.Ending == Answered {
 			rep.Answered++
 		}
+		if s.Caller == kindOdd && s.Outcome == Acked {
+			rep.Odd++
+		}
 		h.Statements[i].Runs = r.group.Runs(s.ID)
 	}
+	h.Runs, h.Committed, h.Strays = r.group.AllRuns(), r.group.Committed(), r.group.Strays()
+	for _, in := range r.started {
+		rep.SecondAnswers += in.SecondAnswers()
+	}
 	rep.Violations = h.Check(r.group.WriteCount, r.group.WriteIndex)
 	_, rep.Excused = h.judgeCuts()
 	for _, w := range h.Writes {
@@ -484,12 +518,22 @@
 	}
 }
 
-// String returns the counts on one line, followed by up to maxListed violations, one a line.
+// String returns the counts on one line, followed by the violations, one a line: the first of each kind, up to
+// maxListed, and how many more there are.
 func (r Report) String() string {
-	text := fmt.Sprintf("seed %d: %d faults, %d acknowledged, %d not run, %d may have run, %d reads, %d statements answered, %d answers cut with an excuse, %d violations",
-		r.Seed, r.Faults, r.Acked, r.NotRun, r.MayHaveRun, r.Reads, r.Answered, len(r.Excused), len(r.Violations))
-	if len(r.Violations) > 0 {
-		text += "\n  " + strings.Join(r.Violations[:min(len(r.Violations), maxListed)], "\n  ")
+	text := fmt.Sprintf("seed %d: %d faults, %d acknowledged, %d not run, %d may have run, %d reads, %d statements answered, %d odd ones acknowledged, %d second answers, %d answers cut with an excuse, %d violations",
+		r.Seed, r.Faults, r.Acked, r.NotRun, r.MayHaveRun, r.Reads, r.Answered, r.Odd, r.SecondAnswers, len(r.Excused), len(r.Violations))
+	counts := map[string]int{}
+	for _, v := range r.Violations {
+		kind := v[:strings.IndexAny(v+":", ":\"0123456789")]
+		if counts[kind]++; counts[kind] <= maxListed {
+			text += "\n  " + v
+		}
+	}
+	for _, kind := range slices.Sorted(maps.Keys(counts)) {
+		if counts[kind] > maxListed {
+			text += fmt.Sprintf("\n  %s: %d in all", kind, counts[kind])
+		}
 	}
 	return text
 }
--- a/internal/tools/soak/soak_integration_test.go
+++ b/internal/tools/soak/soak_integration_test.go
@@ -21,6 +21,8 @@
 	control    = flag.Int("soak.control", 3, "control hosts")
 	entry      = flag.Int("soak.entry", 3, "entry hosts")
 	writers    = flag.Int("soak.writers", 6, "callers that write")
+	oddCallers = flag.Int("soak.odd", 0, "callers whose texts hold any bytes")
+	stutter    = flag.Float64("soak.stutter", 0, "share of instances' answers that is sent a second time")
 	binaryPath = flag.String("soak.binary", "", "host program; it is built if this is empty")
 	keepDir    = flag.String("soak.keep", "", "folder for settings, data and logs that is kept")
 )
@@ -45,7 +47,7 @@
 func TestSoak(t *testing.T) {
 	binary := build(t)
 	for i := range *seeds {
-		runSeed(t, binary, *seed+i, soak.Options{ControlHosts: *control, EntryHosts: *entry, Writers: *writers, FaultDuration: *length})
+		runSeed(t, binary, *seed+i, soak.Options{ControlHosts: *control, EntryHosts: *entry, Writers: *writers, FaultDuration: *length, OddCallers: *oddCallers, Stutter: *stutter})
 	}
 }
 
@@ -74,7 +76,7 @@
 	return binary
 }
 
-func runSeed(t *testing.T, binary string, seedNumber uint64, opt soak.Options) {
+func runSeed(t *testing.T, binary string, seedNumber uint64, opt soak.Options) soak.Report {
 	t.Helper()
 	dir := t.TempDir()
 	if *keepDir != "" {
@@ -100,4 +102,5 @@
 	if len(rep.Violations) > 0 || work < 100 {
 		t.Errorf("seed %d failed", seedNumber)
 	}
+	return rep
 }
