--- a/internal/tools/soak/soak_integration_test.go
+++ b/internal/tools/soak/soak_integration_test.go
@@ -63,6 +63,18 @@
 	}
 }
 
+// TestStatementsAndRowsKeepTheirBytes guards against statements and rows that are cut or split at a byte of their
+// own.
+func TestStatementsAndRowsKeepTheirBytes(t *testing.T) {
+	binary := build(t)
+	for i := range *seeds {
+		rep := runSeed(t, binary, *seed+i, soak.Options{ControlHosts: *control, EntryHosts: *entry, Writers: *writers, FaultDuration: *length, Calm: true, OddCallers: 8})
+		if rep.Odd < 500 {
+			t.Errorf("seed %d: %d odd statements succeeded, want 500", rep.Seed, rep.Odd)
+		}
+	}
+}
+
 // build builds the host program and returns its path.
 func build(t *testing.T) string {
 	t.Helper()
