--- a/internal/tools/soak/soak_integration_test.go
+++ b/internal/tools/soak/soak_integration_test.go
@@ -75,6 +75,18 @@
 	}
 }
 
+// TestSecondAnswersReachNobody guards against the second answer of an instance that is taken for the answer to
+// another statement.
+func TestSecondAnswersReachNobody(t *testing.T) {
+	binary := build(t)
+	for i := range *seeds {
+		rep := runSeed(t, binary, *seed+i, soak.Options{ControlHosts: *control, EntryHosts: *entry, Writers: *writers, FaultDuration: *length, Calm: true, Stutter: 0.1})
+		if rep.SecondAnswers < 100 {
+			t.Errorf("seed %d: %d second answers were sent, want 100", rep.Seed, rep.SecondAnswers)
+		}
+	}
+}
+
 // build builds the host program and returns its path.
 func build(t *testing.T) string {
 	t.Helper()
