--- a/internal/tools/node/traffic.go
+++ b/internal/tools/node/traffic.go
@@ -70,7 +70,7 @@
 	costs := route.DefaultCosts()
 	manager := &sess.Manager{Topology: t.topology, Costs: costs, Placer: even.NewPlacer(costs.Remote, costs.Primary), Log: n.Log, LogBudget: sess.NewLogBudget(), Meter: n.Meter, Now: clock.Monotonic}
 	t.front = &front.Server{
-		Addr: n.cfg.Listen.Callers, Codec: platform.CallerCodec(), Sessions: manager, Log: n.Log, Meter: n.Meter, Now: clock.Monotonic,
+		Addr: n.cfg.Listen.Callers, Codec: platform.Protocol{Meter: n.Meter}.CallerCodec(), Sessions: manager, Log: n.Log, Meter: n.Meter, Now: clock.Monotonic,
 		CanOpenSession: func(time.Time) bool { return t.topology.Snapshot().ManifestNumber > 0 }, DatabasesKnown: t.topology.ManifestLoaded(), ShedCallers: t.topology.LeaseLapsed, DrainDelay: balancerDetectionTime,
 		Limits:           front.Limits{Callers: n.cfg.MaxCallers(), MessageTimeout: front.DefaultMessageTimeout, UnreadBytes: front.DefaultUnreadBytes, SessionBytes: front.DefaultSessionBytes, SessionValues: front.DefaultSessionValues},
 		Memory:           t.memory,
@@ -113,7 +113,7 @@
 // concurrently.
 func (t *traffic) newPool(group, instance, addr string, sameCenter bool, slots int) *pool.Pool {
 	return &pool.Pool{
-		Group: group, Instance: instance, Addr: addr, Local: sameCenter, Slots: slots, Codec: platform.BackendCodec(),
+		Group: group, Instance: instance, Addr: addr, Local: sameCenter, Slots: slots, Codec: platform.Protocol{Meter: t.n.Meter}.BackendCodec(),
 		Log: t.n.Log, Meter: t.n.Meter, Dial: dial, Now: clock.Monotonic, Memory: t.memory,
 	}
 }
