platform, front: End a line at CR LF and nowhere else

Callers saw a statement cut at a line feed of its data: the instance ran "WRITE k a" of "WRITE k a\nb", and "b" was read as the next message. Of an answer they got rows that were split, rows that had lost a CR at the end, and proofs that had stood inside a row, with the rest of the answer left for the next statement on that connection.

Cause: parseMessage, MayEnd and readLine ended a line at LF, and readLine trimmed every CR and LF from its end. Now lineLength alone says where a line ends, for both directions: at the first CR LF. It looks again at the last byte of what it has searched, so that a CR LF may arrive in two reads, and at nothing before, so that a long line costs its length in whatever pieces it arrives. Nothing is copied more often than before.

Tests that change: FuzzCallerMessages asked that a message ends at an LF; it now asks that it ends at the first CR LF, which is stricter. One of the data of TestLongLinesOfBreaksCostTheirLength held CR LF by mistake ("\n\r" repeated), so that no proxy could have passed it; it has a letter between now. Ruled out: that anything trims on the way between, as the tests go through a front listener, a session and a connection of a pool byte for byte.

--- a/internal/traffic/front/front.go
+++ b/internal/traffic/front/front.go
@@ -62,11 +62,12 @@
 	AppendAnswer func(b []byte, a flow.Answer) []byte
 	// AppendStartupAnswer appends the encoded answer to a startup message.
 	AppendStartupAnswer func(b []byte, a flow.Answer) []byte
-	// MaxMessage is the size of the longest message in bytes.
+	// MaxMessage is the size of the longest message in bytes, with its end.
 	MaxMessage int
-	// MayEnd, if set, reports whether b, which follows the start of a message, may hold its end. A message
-	// that arrives in many pieces is then parsed only once.
-	MayEnd func(b []byte) bool
+	// MayEnd, if set, reports whether b may hold the end of its first message, or a message that is too
+	// large. The first searched bytes of b hold no end. A message that arrives in many pieces is then parsed
+	// only once.
+	MayEnd func(b []byte, searched int) bool
 }
 
 const (
--- a/internal/traffic/front/fuzz_test.go
+++ b/internal/traffic/front/fuzz_test.go
@@ -18,7 +18,7 @@
 func FuzzListener(f *testing.F) {
 	for _, s := range []string{
 		"STARTUP stock u\r\nQUERY 1 BEGIN\r\nQUERY 2 ROLLBACK\r\nQUIT\r\n", "STARTUP stock u\r\nQUERY 1 SET a b\r\nQUERY 2 PREPARE p READ x\r\nQUERY 3 CLOSE p\r\n",
-		"QUERY 1 READ a\r\n", "\n\n\n", "STARTUP", "STARTUP x y\r\n\x00",
+		"QUERY 1 READ a\r\n", "\n\n\n", "STARTUP stock u\r\nQUERY 1\n SET a\r b\nQUIT\r\r\nQUERY 2 CLOSE a\n\r\n", "STARTUP stock\n u\r\n", "STARTUP", "STARTUP x y\r\n\x00",
 	} {
 		f.Add([]byte(s), uint16(7))
 	}
--- a/internal/traffic/front/inbox.go
+++ b/internal/traffic/front/inbox.go
@@ -101,7 +101,7 @@
 // parse parses the next message of the inbox. It does not look again at what holds no end of a message.
 func (c *caller) parse() (Message, int, error) {
 	rest, codec := c.in.rest(), &c.srv.Codec
-	if c.in.searched > 0 && len(rest) <= codec.MaxMessage && codec.MayEnd != nil && !codec.MayEnd(rest[c.in.searched:]) {
+	if c.in.searched > 0 && codec.MayEnd != nil && !codec.MayEnd(rest, c.in.searched) {
 		c.in.searched = len(rest)
 		return Message{}, 0, nil
 	}
--- a/internal/traffic/front/lines_test.go
+++ b/internal/traffic/front/lines_test.go
@@ -213,7 +213,7 @@
 
 // TestLongLinesOfBreaksCostTheirLength guards against a message that is parsed again for each piece of it.
 func TestLongLinesOfBreaksCostTheirLength(t *testing.T) {
-	for name, data := range map[string]string{"LF": "\n", "CR": "\r", "LF CR": "\n\r"} {
+	for name, data := range map[string]string{"LF": "\n", "CR": "\r", "LF CR x": "\n\rx"} {
 		Convey("A long message full of "+name+" that arrives in pieces is parsed a few times at most", t, func() {
 			parsed := 0
 			h := startHost(t, func(s *front.Server) {
