lend: Number the requests of a stream, count replies to other requests

A request now carries a serial, the reply repeats it, and the borrower counts (errands.mismatched) and logs a reply with another serial. Nothing else changes; a lender of an earlier build repeats none, and is not counted.

Borrower.OnMismatch has to be set where the borrower is built (node).

--- a/internal/traffic/lend/borrower.go
+++ b/internal/traffic/lend/borrower.go
@@ -10,6 +10,8 @@
 
 	"github.com/agatespindle/agatespindle/internal/base/bounds"
 	"github.com/agatespindle/agatespindle/internal/base/link"
+	"github.com/agatespindle/agatespindle/internal/base/logs"
+	"github.com/agatespindle/agatespindle/internal/base/meter"
 	"github.com/agatespindle/agatespindle/internal/base/wire"
 	"github.com/agatespindle/agatespindle/internal/traffic/even"
 	"github.com/agatespindle/agatespindle/internal/traffic/flow"
@@ -28,10 +30,13 @@
 	OnLoad func(now time.Time, group, instance string, r even.Report)
 	// Memory bounds the large answers that are received; nil means no bound.
 	Memory *bounds.Budget
+	// OnMismatch, if set, is called for a reply to another request than the one that waits for it, with the
+	// serials of both.
+	OnMismatch func(addr string, sent, replied uint64)
 
 	mu sync.Mutex
 	// The keys of these maps are host addresses.
-	idleStreams map[string][]*link.Conn
+	idleStreams map[string][]*lenderStream
 	// avoidedUntil has the time until which an unresponsive host is avoided.
 	avoidedUntil map[string]time.Time
 	// pings has the pings in progress. Each channel is closed when its ping ends; a host that did not
@@ -42,13 +47,45 @@
 // errUnresponsive is returned for a host that is avoided because it recently failed to answer.
 var errUnresponsive = errors.New("lender did not answer recently")
 
+// lenderStream is the borrower's side of a stream. It carries one request at a time.
+type lenderStream struct {
+	*link.Conn
+	// sent is the serial of the last request. repeats is set once the lender has repeated one: lenders of
+	// earlier builds never do.
+	sent    uint64
+	repeats bool
+}
+
+// answers reports whether a reply is the one to the last request.
+func (s *lenderStream) answers(reply *wire.LendReply) bool {
+	if reply.Serial == 0 && !s.repeats {
+		return true
+	}
+	s.repeats = true
+	return reply.Serial == s.sent
+}
+
+// ReportMismatch returns a function for Borrower.OnMismatch that counts these replies and logs them at a
+// limited rate.
+func ReportMismatch(l *logs.Logger, m *meter.Meter) func(addr string, sent, replied uint64) {
+	limiter := &logs.RateLimiter{PerSecond: mismatchLinesPerSecond, Burst: mismatchLinesPerSecond}
+	return func(addr string, sent, replied uint64) {
+		m.AddCounter("errands.mismatched", 1)
+		if skipped, ok := limiter.Allow(time.Now()); ok {
+			l.WithField("addr", addr).WithField("sent", sent).WithField("replied", replied).WithField("skipped", skipped).
+				Warn("lender replied to another request")
+		}
+	}
+}
+
 // dial opens a stream to a lending host.
-func (b *Borrower) dial(ctx context.Context, addr string) (*link.Conn, error) {
+func (b *Borrower) dial(ctx context.Context, addr string) (*lenderStream, error) {
 	c, err := b.Dialer.Open(ctx, addr, Service)
-	if err == nil {
-		c.SetBudget(b.Memory)
+	if err != nil {
+		return nil, err
 	}
-	return c, err
+	c.SetBudget(b.Memory)
+	return &lenderStream{Conn: c}, nil
 }
 
 // Open prepares to borrow a connection to an instance from the host at addr. The lender acquires the
@@ -104,7 +141,7 @@
 
 // checkHost checks whether a host that did not answer a request is reachable: the cause may also be
 // an instance that does not answer.
-func (b *Borrower) checkHost(addr string, c *link.Conn) {
+func (b *Borrower) checkHost(addr string, c *lenderStream) {
 	if c.SessionClosed() {
 		b.avoid(addr)
 		return
@@ -114,7 +151,7 @@
 
 // ping reports whether a host answers a ping, and avoids the host if it doesn't. Concurrent calls for
 // the same host share one ping.
-func (b *Borrower) ping(addr string, c *link.Conn) bool {
+func (b *Borrower) ping(addr string, c *lenderStream) bool {
 	b.mu.Lock()
 	done, pending := b.pings[addr]
 	if !pending {
@@ -167,7 +204,7 @@
 }
 
 // takeIdle removes and returns an idle stream to a host, or nil if there is none.
-func (b *Borrower) takeIdle(addr string) *link.Conn {
+func (b *Borrower) takeIdle(addr string) *lenderStream {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for list := b.idleStreams[addr]; len(list) > 0; list = b.idleStreams[addr] {
@@ -182,11 +219,11 @@
 }
 
 // putIdle keeps a stream for reuse, or closes it if maxIdleStreams are kept already.
-func (b *Borrower) putIdle(addr string, c *link.Conn) {
+func (b *Borrower) putIdle(addr string, c *lenderStream) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.idleStreams == nil {
-		b.idleStreams = map[string][]*link.Conn{}
+		b.idleStreams = map[string][]*lenderStream{}
 	}
 	if len(b.idleStreams[addr]) >= maxIdleStreams {
 		c.Close()
@@ -202,7 +239,7 @@
 	group    string
 	instance string
 	database string
-	stream   *link.Conn
+	stream   *lenderStream
 	// openParams names the instance, rank and wait limit; it is sent with the first request and nil
 	// after that.
 	openParams *wire.LendRequest
@@ -226,6 +263,8 @@
 	if err := b.stream.SetDeadline(time.Now().Add(replyLimit(lendReq) + transitAllowance)); err != nil {
 		return flow.Answer{}, flow.Unsent, err
 	}
+	b.stream.sent++
+	lendReq.Serial = b.stream.sent
 	if err := b.stream.Send(lendReq); err != nil {
 		return flow.Answer{}, flow.Sent, fmt.Errorf("lender %s: %w", b.addr, err)
 	}
@@ -234,6 +273,9 @@
 		b.borrower.checkHost(b.addr, b.stream)
 		return flow.Answer{}, flow.Sent, fmt.Errorf("lender %s: %w", b.addr, err)
 	}
+	if !b.stream.answers(reply) && b.borrower.OnMismatch != nil {
+		b.borrower.OnMismatch(b.addr, b.stream.sent, reply.Serial)
+	}
 	b.passLoad(reply.Load)
 	if reply.Declined {
 		b.returned = true
--- a/internal/traffic/lend/lend.go
+++ b/internal/traffic/lend/lend.go
@@ -53,6 +53,8 @@
 	withdrawnQuiet = 150 * time.Millisecond
 	// drainPollInterval is the interval at which a drain checks for lent connections.
 	drainPollInterval = 20 * time.Millisecond
+	// mismatchLinesPerSecond limits the log lines about replies to other requests.
+	mismatchLinesPerSecond = 5
 )
 
 // Lender runs other hosts' requests on this host's connections. The exported fields are set before
@@ -126,7 +128,7 @@
 	defer s.claim.Force(bounds.Unsent, 0)
 	abandoned := time.Now().Add(replyLimit(req) + transitAllowance)
 	reply := s.answer(ctx, now, req)
-	reply.Load = s.load()
+	reply.Load, reply.Serial = s.load(), req.Serial
 	if err := s.send(reply, abandoned); err != nil {
 		s.logCut("borrower", err)
 		return false
