lend: Take a reply only for the request that it answers

Callers could get the answer to another caller's statement, a commit could be answered with another's outcome, and each later answer on the stream came one request late. The cause: a borrowed connection counted as given back from an earlier answer on, also while a later request on it had no reply. The rollback that follows a commit with an error is such a request; when it was not answered in time, the stream went back among the idle ones with a reply on its way.

Now: - a connection counts as given back only after the reply to its last request, and after a lost reply a stream carries no further request, with lenders of any build; - a reply with another serial fails the request (sent, no answer) and closes the stream, with lenders that repeat serials.

A lender of an earlier build that replies twice would still go unnoticed; none does: Serve sends one reply to each request.

--- a/internal/traffic/lend/borrower.go
+++ b/internal/traffic/lend/borrower.go
@@ -78,6 +78,9 @@
 	}
 }
 
+// errOtherReply is returned if a lender replies to another request than the last one.
+var errOtherReply = errors.New("reply to another request")
+
 // dial opens a stream to a lending host.
 func (b *Borrower) dial(ctx context.Context, addr string) (*lenderStream, error) {
 	c, err := b.Dialer.Open(ctx, addr, Service)
@@ -243,13 +246,16 @@
 	// openParams names the instance, rank and wait limit; it is sent with the first request and nil
 	// after that.
 	openParams *wire.LendRequest
-	// returned is set once the connection is back with the lender.
+	// returned is set while the connection is back with the lender and no reply is outstanding.
 	returned bool
+	// failed is set once a reply did not arrive. The stream carries no more requests.
+	failed bool
 }
 
 // Run implements pool.Handle.
 func (b *borrowedConn) Run(timeout time.Duration, values flow.Values, req flow.Request, last bool) (flow.Answer, flow.Stage, error) {
-	if b.stream.SessionClosed() {
+	b.returned = false
+	if b.failed || b.stream.SessionClosed() {
 		return flow.Answer{}, flow.Unsent, fmt.Errorf("lender %s: %w", b.addr, net.ErrClosed)
 	}
 	lendReq := &wire.LendRequest{Limit: int64(timeout), Values: values.Pairs(), Question: requestToWire(req), Last: last}
@@ -265,6 +271,7 @@
 	}
 	b.stream.sent++
 	lendReq.Serial = b.stream.sent
+	b.failed = true
 	if err := b.stream.Send(lendReq); err != nil {
 		return flow.Answer{}, flow.Sent, fmt.Errorf("lender %s: %w", b.addr, err)
 	}
@@ -273,9 +280,13 @@
 		b.borrower.checkHost(b.addr, b.stream)
 		return flow.Answer{}, flow.Sent, fmt.Errorf("lender %s: %w", b.addr, err)
 	}
-	if !b.stream.answers(reply) && b.borrower.OnMismatch != nil {
-		b.borrower.OnMismatch(b.addr, b.stream.sent, reply.Serial)
+	if !b.stream.answers(reply) {
+		if b.borrower.OnMismatch != nil {
+			b.borrower.OnMismatch(b.addr, b.stream.sent, reply.Serial)
+		}
+		return flow.Answer{}, flow.Sent, fmt.Errorf("lender %s: %w", b.addr, errOtherReply)
 	}
+	b.failed = false
 	b.passLoad(reply.Load)
 	if reply.Declined {
 		b.returned = true
@@ -334,7 +345,7 @@
 	b.borrower.putIdle(b.addr, b.stream)
 }
 
-// Close implements pool.Handle. A stream is reused if the lender has reported the outcome of the
+// Close implements pool.Handle. A stream is reused if the lender has reported the outcome of the last
 // request.
 func (b *borrowedConn) Close() {
 	if b.returned {
