lend: Carry statements and answers between hosts as bytes

A statement whose id, text or session values are not UTF-8 failed on a borrowed connection: its write was said to be in doubt though nothing was sent, its read failed on each lender. An answer with such a proof or error text was lost after the statement had run. The fields were protobuf strings, which encoders and decoders refuse if they are not UTF-8; rows already were bytes. Statements are the caller's bytes and pass unchanged.

The fields keep their numbers, and strings and bytes have one encoding, so hosts of earlier builds understand each other's UTF-8; one that gets other bytes ends the stream, as it did before. Error texts of the lender itself are made valid.

--- a/internal/traffic/lend/borrower.go
+++ b/internal/traffic/lend/borrower.go
@@ -258,7 +258,7 @@
 	if b.failed || b.stream.SessionClosed() {
 		return flow.Answer{}, flow.Unsent, fmt.Errorf("lender %s: %w", b.addr, net.ErrClosed)
 	}
-	lendReq := &wire.LendRequest{Limit: int64(timeout), Values: values.Pairs(), Question: requestToWire(req), Last: last}
+	lendReq := &wire.LendRequest{Limit: int64(timeout), Values: valuesToWire(values), Question: requestToWire(req), Last: last}
 	retryable := b.openParams != nil && !req.Writes
 	if b.openParams != nil {
 		lendReq.Group, lendReq.Instance, lendReq.Rank, lendReq.Patience, lendReq.Late = b.openParams.Group, b.openParams.Instance, b.openParams.Rank, b.openParams.Patience, b.openParams.Late
@@ -290,7 +290,7 @@
 	b.passLoad(reply.Load)
 	if reply.Declined {
 		b.returned = true
-		return flow.Answer{Code: flow.Declined, Text: reply.Text}, flow.Answered, nil
+		return flow.Answer{Code: flow.Declined, Text: string(reply.Text)}, flow.Answered, nil
 	}
 	if reply.Error != "" {
 		b.returned = true
@@ -300,7 +300,7 @@
 		return flow.Answer{}, flow.Stage(reply.Stage), fmt.Errorf("lender %s: %s", b.addr, reply.Error)
 	}
 	a := flow.Answer{
-		Rows: reply.Rows, Proof: reply.Proof, Code: flow.Code(reply.Code), Text: reply.Text, State: flow.State(reply.State),
+		Rows: reply.Rows, Proof: string(reply.Proof), Code: flow.Code(reply.Code), Text: string(reply.Text), State: flow.State(reply.State),
 		Position: token.Position{Term: reply.Mark.GetTerm(), Position: reply.Mark.GetNumber()},
 	}
 	if reply.Leaving {
--- a/internal/traffic/lend/drain_test.go
+++ b/internal/traffic/lend/drain_test.go
@@ -205,7 +205,7 @@
 	So(err, ShouldBeNil)
 	So(c.SetDeadline(time.Now().Add(statementLimit)), ShouldBeNil)
 	So(c.Send(&wire.LendRequest{
-		Group: "g", Instance: "i", Patience: int64(limit), Limit: int64(limit), Last: true, Question: &wire.InstanceRequest{Id: "s", Text: "READ x"},
+		Group: "g", Instance: "i", Patience: int64(limit), Limit: int64(limit), Last: true, Question: &wire.InstanceRequest{Id: []byte("s"), Text: []byte("READ x")},
 	}), ShouldBeNil)
 	h.awaitArrival()
 	return h, c
--- a/internal/traffic/lend/leaving_test.go
+++ b/internal/traffic/lend/leaving_test.go
@@ -60,7 +60,7 @@
 			c, err := dialer.Open(ctx, ln.Addr().String(), lend.Service)
 			So(err, ShouldBeNil)
 			defer c.Close()
-			So(c.Send(&wire.LendRequest{Group: "g", Instance: "i", Patience: int64(time.Second), Limit: int64(time.Second), Last: true, Question: &wire.InstanceRequest{Text: "READ x"}}), ShouldBeNil)
+			So(c.Send(&wire.LendRequest{Group: "g", Instance: "i", Patience: int64(time.Second), Limit: int64(time.Second), Last: true, Question: &wire.InstanceRequest{Text: []byte("READ x")}}), ShouldBeNil)
 			r := &wire.LendReply{}
 			So(c.Recv(r), ShouldBeNil)
 			So(flow.Code(r.Code), ShouldEqual, flow.Overloaded)
--- a/internal/traffic/lend/lend.go
+++ b/internal/traffic/lend/lend.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -118,7 +119,7 @@
 
 // serve answers one request. It returns false if the answer could not be sent.
 func (s *lentStream) serve(ctx context.Context, req *wire.LendRequest) bool {
-	s.request = req.Question.GetId()
+	s.request = string(req.Question.GetId())
 	if req.Instance != "" {
 		s.instance = req.Instance
 	}
@@ -168,7 +169,7 @@
 		}
 		handle, err := l.open(ctx, s.member, req)
 		if err != nil {
-			reply.Error = err.Error()
+			reply.Error = strings.ToValidUTF8(err.Error(), "\uFFFD")
 			return reply
 		}
 		s.setHandle(handle)
@@ -284,13 +285,13 @@
 // run runs a request within limit and fills in the reply. It returns true if the connection is no longer lent.
 func (s *lentStream) run(limit time.Duration, req *wire.LendRequest, reply *wire.LendReply) bool {
 	start := time.Now()
-	a, stage, err := s.handle.Run(limit, flow.ValuesOf(req.Values), requestFromWire(req.Question), req.Last)
+	a, stage, err := s.handle.Run(limit, valuesFromWire(req.Values), requestFromWire(req.Question), req.Last)
 	s.claim.Force(bounds.Unsent, answerBytes(a))
 	reply.Took = int64(time.Since(start))
 	reply.Stage = uint32(stage)
 	if err != nil {
 		s.handle.Close()
-		reply.Error, reply.Limited = err.Error(), errors.Is(err, topo.ErrNoShare)
+		reply.Error, reply.Limited = strings.ToValidUTF8(err.Error(), "\uFFFD"), errors.Is(err, topo.ErrNoShare)
 		return true
 	}
 	if a.Code == flow.Leaving {
@@ -299,7 +300,7 @@
 	if a.Code == flow.Limited {
 		reply.Limited, a.Code = true, flow.Overloaded
 	}
-	reply.Rows, reply.Proof, reply.Code, reply.Text, reply.State = a.Rows, a.Proof, uint32(a.Code), a.Text, uint32(a.State)
+	reply.Rows, reply.Proof, reply.Code, reply.Text, reply.State = a.Rows, []byte(a.Proof), uint32(a.Code), []byte(a.Text), uint32(a.State)
 	reply.Mark = &wire.LogPosition{Term: a.Position.Term, Number: a.Position.Position}
 	if !returnsConnection(req.Last, a) {
 		return false
@@ -377,15 +378,30 @@
 
 func requestFromWire(q *wire.InstanceRequest) flow.Request {
 	return flow.Request{
-		Op: flow.Op(q.GetOp()), ID: q.GetId(), Text: q.GetText(), Name: q.GetName(), Value: q.GetValue(), Template: q.GetShape(), Writes: q.GetWrites(),
+		Op: flow.Op(q.GetOp()), ID: string(q.GetId()), Text: string(q.GetText()), Name: string(q.GetName()), Value: string(q.GetValue()),
+		Template: string(q.GetShape()), Writes: q.GetWrites(),
 		MinPosition: token.Position{Term: q.GetAfter().GetTerm(), Position: q.GetAfter().GetNumber()},
 	}
 }
 
 func requestToWire(r flow.Request) *wire.InstanceRequest {
-	w := &wire.InstanceRequest{Op: uint32(r.Op), Id: r.ID, Text: r.Text, Name: r.Name, Value: r.Value, Shape: r.Template, Writes: r.Writes}
+	w := &wire.InstanceRequest{Op: uint32(r.Op), Id: []byte(r.ID), Text: []byte(r.Text), Name: []byte(r.Name), Value: []byte(r.Value), Shape: []byte(r.Template), Writes: r.Writes}
 	if r.MinPosition != (token.Position{}) {
 		w.After = &wire.LogPosition{Term: r.MinPosition.Term, Number: r.MinPosition.Position}
 	}
 	return w
 }
+
+func valuesFromWire(pairs [][]byte) flow.Values {
+	list := make([]string, 0, len(pairs))
+	for _, b := range pairs {
+		list = append(list, string(b))
+	}
+	return flow.ValuesOf(list)
+}
+
+func valuesToWire(v flow.Values) [][]byte {
+	var list [][]byte
+	v.Each(func(name, value string) { list = append(list, []byte(name), []byte(value)) })
+	return list
+}
--- a/internal/traffic/lend/lend_test.go
+++ b/internal/traffic/lend/lend_test.go
@@ -54,7 +54,7 @@
 			So(err, ShouldBeNil)
 			defer c.Close()
 			_ = c.SetDeadline(time.Now().Add(10 * time.Second))
-			So(c.Send(&wire.LendRequest{Group: "g", Instance: "i", Patience: int64(waitLimit), Limit: int64(time.Second), Last: true, Question: &wire.InstanceRequest{Text: "READ x"}}), ShouldBeNil)
+			So(c.Send(&wire.LendRequest{Group: "g", Instance: "i", Patience: int64(waitLimit), Limit: int64(time.Second), Last: true, Question: &wire.InstanceRequest{Text: []byte("READ x")}}), ShouldBeNil)
 			r := &wire.LendReply{}
 			So(c.Recv(r), ShouldBeNil)
 			return r.Error
--- a/internal/traffic/lend/load.go
+++ b/internal/traffic/lend/load.go
@@ -28,7 +28,7 @@
 // decline returns the reply to a movable request for an instance without a free slot.
 func (l *Lender) decline(m *topo.Member) *wire.LendReply {
 	l.Meter.AddCounter("errands.declined", 1)
-	return &wire.LendReply{Code: uint32(flow.Overloaded), Text: m.Instance, State: uint32(flow.Idle), Stage: uint32(flow.Answered), Declined: true}
+	return &wire.LendReply{Code: uint32(flow.Overloaded), Text: []byte(m.Instance), State: uint32(flow.Idle), Stage: uint32(flow.Answered), Declined: true}
 }
 
 // passLoad passes the load in a reply on, if there is one.
--- a/internal/traffic/lend/reply_test.go
+++ b/internal/traffic/lend/reply_test.go
@@ -67,9 +67,9 @@
 				if c.Recv(req) != nil {
 					return
 				}
-				reply := &wire.LendReply{Proof: "proof of " + req.Question.Id, Stage: uint32(flow.Answered)}
+				reply := &wire.LendReply{Proof: []byte("proof of " + string(req.Question.Id)), Stage: uint32(flow.Answered)}
 				switch {
-				case req.Question.Id == "commit":
+				case string(req.Question.Id) == "commit":
 					reply.Code = uint32(flow.Failed)
 				case flow.Op(req.Question.Op) == flow.RollbackTx:
 					time.Sleep(400 * time.Millisecond)
@@ -109,7 +109,7 @@
 				if c.Recv(req) != nil {
 					return
 				}
-				reply := &wire.LendReply{Proof: "proof of " + req.Question.Id, Serial: req.Serial, Stage: uint32(flow.Answered)}
+				reply := &wire.LendReply{Proof: []byte("proof of " + string(req.Question.Id)), Serial: req.Serial, Stage: uint32(flow.Answered)}
 				if c.Send(reply) != nil || req.Serial == 1 && c.Send(reply) != nil {
 					return
 				}
@@ -147,7 +147,7 @@
 				if c.Recv(req) != nil {
 					return
 				}
-				received <- req.Question.Id
+				received <- string(req.Question.Id)
 			}
 		})
 		h, err := b.Open(addr, "g", "i", pool.Priority{}, 0)
