logs: Cut long texts in the fields of log lines

A caller whose requests fail could write log lines of megabytes: the id of a request, up to a message long and up to six times that in JSON, stands in each line about it. 4,096 of them may wait in memory for a slow output, and explain fails on a line over 1 MiB. Each text in a field is now cut after 2 KiB, with a mark.

Before: a line of 524,445 bytes; TestLongFieldsMakeNoLongLines passes now. Ruled out: lines forged by a line feed, a brace or bytes that are no UTF-8 in an id; the test plays them, and encoding/json escapes them.

--- a/internal/base/logs/logs.go
+++ b/internal/base/logs/logs.go
@@ -48,7 +48,7 @@
 // SetRevision sets the revision field of all later lines.
 func (l *Logger) SetRevision(n uint64) { l.revision.Store(n) }
 
-// handler adds the revision to each line and passes it to next.
+// handler adds the revision to each line, cuts long texts and passes it to next.
 type handler struct {
 	next     log.Handler
 	revision *atomic.Uint64
@@ -56,11 +56,7 @@
 
 // HandleLog implements log.Handler.
 func (h *handler) HandleLog(e *log.Entry) error {
-	fields := log.Fields{"revision": h.revision.Load()}
-	for name, v := range e.Fields {
-		fields[name] = v
-	}
 	line := *e
-	line.Fields = fields
+	line.Fields = shortenFields(e.Fields, h.revision.Load())
 	return h.next.HandleLog(&line)
 }
