story: Print fields of log lines without their control characters

What explain and losses print could hold events that never took place: a text that an instance, an operator or a caller chose went out with its line feeds, tabs and escape sequences. They are now shown escaped.

The JSON of losses already escapes them.

--- a/internal/tools/story/losses.go
+++ b/internal/tools/story/losses.go
@@ -254,8 +254,8 @@
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(tw, "START\tCOUNT\tEVENT\tGROUP\tREASON\tNO LEASE\tCLOSED\tINSTANCE\tHOST\tLONGEST\tPOSITION AGE")
 	for _, l := range r.Losses {
-		fmt.Fprintf(tw, "%s\t%d\t%s\t%s\t%s\t%d\t%d\t%s\t%s\t%s\t%s\n", l.Start.Format("15:04:05.000"), l.Count, l.Event, l.Group, l.Reason,
-			l.Unleased, l.Closed, l.Instance, l.Host, rounded(l.LongestTook), rounded(l.OldestPosition))
+		fmt.Fprintf(tw, "%s\t%d\t%s\t%s\t%s\t%d\t%d\t%s\t%s\t%s\t%s\n", l.Start.Format("15:04:05.000"), l.Count, l.Event, shown(l.Group), shown(l.Reason),
+			l.Unleased, l.Closed, shown(l.Instance), shown(l.Host), rounded(l.LongestTook), rounded(l.OldestPosition))
 	}
 	if err := tw.Flush(); err != nil {
 		return err
--- a/internal/tools/story/story.go
+++ b/internal/tools/story/story.go
@@ -9,7 +9,10 @@
 	"fmt"
 	"io"
 	"sort"
+	"strconv"
+	"strings"
 	"time"
+	"unicode"
 
 	"github.com/agatespindle/agatespindle/internal/traffic/drain"
 	"github.com/agatespindle/agatespindle/internal/traffic/sess"
@@ -42,6 +45,23 @@
 	return "?"
 }
 
+// shown returns the text of a field as it is printed: on one line, without control characters.
+func shown(s string) string {
+	if !strings.ContainsFunc(s, func(r rune) bool { return !unicode.IsPrint(r) }) {
+		return s
+	}
+	var b strings.Builder
+	for _, r := range s {
+		if unicode.IsPrint(r) {
+			b.WriteRune(r)
+			continue
+		}
+		q := strconv.QuoteRune(r)
+		b.WriteString(q[1 : len(q)-1])
+	}
+	return b.String()
+}
+
 // Explain writes the events of the request with the given ID to w in order of time, then its
 // outcome. r holds JSON log lines of any number of hosts in any order. It returns ErrNotFound if no
 // line mentions the request, or an error if r cannot be read.
@@ -59,9 +79,9 @@
 		return ErrNotFound
 	}
 	for _, l := range related {
-		fmt.Fprintf(w, "%s %s: %s\n", l.Timestamp.Format("15:04:05.000"), l.field("host"), describe(l))
+		fmt.Fprintf(w, "%s %s: %s\n", l.Timestamp.Format("15:04:05.000"), shown(l.field("host")), shown(describe(l)))
 	}
-	fmt.Fprintln(w, summarize(related, id))
+	fmt.Fprintln(w, shown(summarize(related, id)))
 	return nil
 }
 
