story: Have explain read past lines that are too long

One line over 1 MiB, as hosts wrote for ids of that length, made explain fail for a whole log ("bufio.Scanner: token too long"). Such a line is now counted as unreadable, as losses does it. An id that the log has cut finds its lines.

--- a/internal/tools/story/story.go
+++ b/internal/tools/story/story.go
@@ -3,7 +3,6 @@
 package story
 
 import (
-	"bufio"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -14,6 +13,7 @@
 	"time"
 	"unicode"
 
+	"github.com/agatespindle/agatespindle/internal/base/logs"
 	"github.com/agatespindle/agatespindle/internal/traffic/drain"
 	"github.com/agatespindle/agatespindle/internal/traffic/sess"
 )
@@ -23,7 +23,7 @@
 	// last one in which other lines about its groups and instances are included.
 	contextBefore = 10 * time.Second
 	contextAfter  = time.Second
-	// maxLineBytes is the maximum length of a line; a longer one fails the read.
+	// maxLineBytes is the maximum length of a line; a longer one is no log line.
 	maxLineBytes = 1 << 20
 )
 
@@ -66,6 +66,7 @@
 // outcome. r holds JSON log lines of any number of hosts in any order. It returns ErrNotFound if no
 // line mentions the request, or an error if r cannot be read.
 func Explain(w io.Writer, r io.Reader, id string) error {
+	id = logs.Shorten(id)
 	lines, unreadable, err := readLines(r)
 	if err != nil {
 		return err
@@ -87,17 +88,15 @@
 
 // readLines decodes the log lines of r and counts those that it cannot decode.
 func readLines(r io.Reader) (lines []logLine, unreadable int, err error) {
-	sc := bufio.NewScanner(r)
-	sc.Buffer(nil, maxLineBytes)
-	for sc.Scan() {
-		l, ok := decodeLine(sc.Bytes())
+	err = eachLine(r, func(line []byte) {
+		l, ok := decodeLine(line)
 		if !ok {
 			unreadable++
-			continue
+			return
 		}
 		lines = append(lines, l)
-	}
-	return lines, unreadable, sc.Err()
+	})
+	return lines, unreadable, err
 }
 
 // selectRelated returns the lines of a request, and the lines about its groups and instances from
