--- a/internal/tools/story/story.go
+++ b/internal/tools/story/story.go
@@ -3,14 +3,17 @@
 package story
 
 import (
-	"bufio"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"sort"
+	"strconv"
+	"strings"
 	"time"
+	"unicode"
 
+	"github.com/agatespindle/agatespindle/internal/base/logs"
 	"github.com/agatespindle/agatespindle/internal/traffic/drain"
 	"github.com/agatespindle/agatespindle/internal/traffic/sess"
 )
@@ -20,7 +23,7 @@
 	// last one in which other lines about its groups and instances are included.
 	contextBefore = 10 * time.Second
 	contextAfter  = time.Second
-	// maxLineBytes is the maximum length of a line; a longer one fails the read.
+	// maxLineBytes is the maximum length of a line; a longer one is no log line.
 	maxLineBytes = 1 << 20
 )
 
@@ -42,10 +45,28 @@
 	return "?"
 }
 
+// shown returns the text of a field as it is printed: on one line, without control characters.
+func shown(s string) string {
+	if !strings.ContainsFunc(s, func(r rune) bool { return !unicode.IsPrint(r) }) {
+		return s
+	}
+	var b strings.Builder
+	for _, r := range s {
+		if unicode.IsPrint(r) {
+			b.WriteRune(r)
+			continue
+		}
+		q := strconv.QuoteRune(r)
+		b.WriteString(q[1 : len(q)-1])
+	}
+	return b.String()
+}
+
 // Explain writes the events of the request with the given ID to w in order of time, then its
 // outcome. r holds JSON log lines of any number of hosts in any order. It returns ErrNotFound if no
 // line mentions the request, or an error if r cannot be read.
 func Explain(w io.Writer, r io.Reader, id string) error {
+	id = logs.Shorten(id)
 	lines, unreadable, err := readLines(r)
 	if err != nil {
 		return err
@@ -59,25 +80,23 @@
 		return ErrNotFound
 	}
 	for _, l := range related {
-		fmt.Fprintf(w, "%s %s: %s\n", l.Timestamp.Format("15:04:05.000"), l.field("host"), describe(l))
+		fmt.Fprintf(w, "%s %s: %s\n", l.Timestamp.Format("15:04:05.000"), shown(l.field("host")), shown(describe(l)))
 	}
-	fmt.Fprintln(w, summarize(related, id))
+	fmt.Fprintln(w, shown(summarize(related, id)))
 	return nil
 }
 
 // readLines decodes the log lines of r and counts those that it cannot decode.
 func readLines(r io.Reader) (lines []logLine, unreadable int, err error) {
-	sc := bufio.NewScanner(r)
-	sc.Buffer(nil, maxLineBytes)
-	for sc.Scan() {
-		l, ok := decodeLine(sc.Bytes())
+	err = eachLine(r, func(line []byte) {
+		l, ok := decodeLine(line)
 		if !ok {
 			unreadable++
-			continue
+			return
 		}
 		lines = append(lines, l)
-	}
-	return lines, unreadable, sc.Err()
+	})
+	return lines, unreadable, err
 }
 
 // selectRelated returns the lines of a request, and the lines about its groups and instances from
