--- a/internal/tools/node/traffic.go
+++ b/internal/tools/node/traffic.go
@@ -50,7 +50,7 @@
 // connections to instances.
 func (n *Node) buildTraffic() {
 	t := &traffic{n: n, memory: n.callerMemory()}
-	borrower := &lend.Borrower{Dialer: n.dialer, Now: clock.Monotonic, Memory: t.memory}
+	borrower := &lend.Borrower{Dialer: n.dialer, Now: clock.Monotonic, Memory: t.memory, OnMismatch: lend.ReportMismatch(n.Log, n.Meter)}
 	t.topology = &topo.Topology{
 		Host: n.cfg.Host, Center: n.cfg.Center, LendOnly: !n.cfg.ServesCallers(), Agent: n.Agent, NewPool: t.newPool, Borrow: borrower.Open,
 		LeaveBound: n.cfg.LeaveBound(), Shares: n.Agent.Shares, Log: n.Log, Meter: n.Meter, Now: clock.Monotonic,
