holder: Count messages of backend servers that no statement waits for

The PostgreSQL protocol's answers carry no name of their statement. Whether a connection held bytes that nobody had asked for was looked at before a connection was taken for new work, without a trace, and not at all before a statement of an open transaction. The counter answers.unasked and a line, at most one a second, now tell of both, with the kind of the message and whether a transaction was open. Nothing else changes.

--- a/internal/traffic/holder/holder.go
+++ b/internal/traffic/holder/holder.go
@@ -28,6 +28,9 @@
 	maintainInterval = 50 * time.Millisecond
 	// reconcileInterval is the maximum time between two updates of all groups.
 	reconcileInterval = 5 * time.Second
+	// answerLinesPerSecond and answerLinesBurst limit the log lines about answers that no statement waits for.
+	answerLinesPerSecond = 1
+	answerLinesBurst     = 10
 )
 
 // Holder runs requests for the groups that this host holds. Set the exported fields before calling
@@ -63,7 +66,9 @@
 	limiters map[string]*rateLimiter
 	// forwarded is the number of requests of other hosts that have not been answered.
 	forwarded atomic.Int64
-	wg        sync.WaitGroup
+	// answerLines limits the lines about answers that no statement waits for.
+	answerLines *logs.RateLimiter
+	wg          sync.WaitGroup
 }
 
 // observedPrimary is a primary that this host probes without holding its group.
@@ -101,6 +106,7 @@
 	h.pools = map[string]*pool{}
 	h.observed = map[string]*observedPrimary{}
 	h.limiters = map[string]*rateLimiter{}
+	h.answerLines = &logs.RateLimiter{PerSecond: answerLinesPerSecond, Burst: answerLinesBurst}
 }
 
 // Run keeps pools and probes up to date until ctx is done. It then closes them, waits for its
@@ -346,3 +352,12 @@
 // Forwarded returns the number of requests of other hosts that have not been answered. A request outside
 // of a transaction counts until the other host has received the answer.
 func (h *Holder) Forwarded() int { return int(h.forwarded.Load()) }
+
+// reportUnasked counts and logs a message of a backend server that no statement waits for.
+func (h *Holder) reportUnasked(now time.Time, c *conn, kind byte) {
+	h.Meter.AddCounter("answers.unasked", 1)
+	if skipped, ok := h.answerLines.Allow(now); ok {
+		h.Log.WithField("instance", c.server.name).WithField("message", string(kind)).WithField("transaction", c.inTransaction).
+			WithField("skipped", skipped).Warn("backend server sent what no statement waits for")
+	}
+}
--- a/internal/traffic/holder/reply.go
+++ b/internal/traffic/holder/reply.go
@@ -45,6 +45,7 @@
 func (w *Work) exchange(ctx context.Context, data []byte, expect uint32, sink Sink) (*reply, error) {
 	c := w.conn
 	r := &reply{inTransaction: c.inTransaction}
+	c.quiet(w.pool.h.Now())
 	deadline, _ := ctx.Deadline()
 	c.SetDeadline(deadline)
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
--- a/internal/traffic/holder/server.go
+++ b/internal/traffic/holder/server.go
@@ -173,7 +173,7 @@
 	for n := len(s.idleConns); n > 0; n-- {
 		c := s.idleConns[n-1]
 		s.idleConns = s.idleConns[:n-1]
-		if c.usable() {
+		if c.quiet(p.h.Now()) {
 			p.mu.Unlock()
 			return c, nil
 		}
@@ -203,9 +203,22 @@
 	return &conn{ServerConn: raw, r: bufio.NewReaderSize(raw, 16<<10), server: s}, nil
 }
 
-// usable reports whether an idle connection is open and has no unread data: a late response must
-// never be taken for the response to another request.
-func (c *conn) usable() bool { return c.r.Buffered() == 0 && adapt.Idle(c.ServerConn) }
+// unaskedReadTimeout limits the read of a byte that the socket is known to hold.
+const unaskedReadTimeout = 10 * time.Millisecond
+
+// quiet reports whether the connection is open and holds nothing unread: answers carry no name of their
+// statement, so that bytes which nobody asked for would be taken for the answer to the next one. It counts
+// connections with such bytes.
+func (c *conn) quiet(now time.Time) bool {
+	if c.r.Buffered() == 0 && adapt.Idle(c.ServerConn) {
+		return true
+	}
+	_ = c.SetReadDeadline(now.Add(unaskedReadTimeout))
+	if b, _ := c.r.Peek(1); len(b) > 0 {
+		c.server.pool.h.reportUnasked(now, c, b[0])
+	}
+	return false
+}
 
 // put makes the connection idle for reuse, or closes it if it is not reusable.
 func (c *conn) put(reusable bool) {
