holder: Look at the socket before a connection is lent again

Callers got the answer to another caller's statement: the test's caller asked SELECT 'second' and was told 'first'.

adapt.Idle looks at the socket of a connection and counts one without a socket as idle. The pool handed it the wrapper adapt.ServerConn, whose embedded net.Conn hides the socket, so that it never looked: only bytes that had already been read into the buffer were noticed, not those that arrived after the answer. The pool now hands over the connection inside. Such a connection is closed before its next use, and the counter answers.unasked tells of it.

--- a/internal/traffic/holder/server.go
+++ b/internal/traffic/holder/server.go
@@ -210,7 +210,7 @@
 // statement, so that bytes which nobody asked for would be taken for the answer to the next one. It counts
 // connections with such bytes.
 func (c *conn) quiet(now time.Time) bool {
-	if c.r.Buffered() == 0 && adapt.Idle(c.ServerConn) {
+	if c.r.Buffered() == 0 && adapt.Idle(c.ServerConn.Conn) {
 		return true
 	}
 	_ = c.SetReadDeadline(now.Add(unaskedReadTimeout))
