holder: Send no statement on a connection that holds an answer

In an open transaction the caller's SELECT 'second' got the rows of SELECT 'first', which the backend server had answered twice, and each later answer of the transaction was one statement late, COMMIT's too.

A connection was looked at before it was lent, but not before the statements that follow on it: those of a transaction, and those of the proxy itself around a write with a key. Now each exchange begins with that look. If there is anything unread, or the server has closed, nothing is sent, the connection is closed, which rolls its transaction back, and the verdict is NotRun.

--- a/internal/traffic/holder/reply.go
+++ b/internal/traffic/holder/reply.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -38,14 +39,22 @@
 	inTransaction bool
 	// answered is the number of messages of the batch that were answered.
 	answered uint32
+	// unsent is set if nothing of the batch was sent.
+	unsent bool
 }
 
-// exchange sends messages and reads the response until the server is ready for a query or, if expect
+// errNotQuiet means that a connection was closed by its server, or held bytes that no statement waits for.
+var errNotQuiet = errors.New("connection was closed or held an answer that no statement waits for")
+
+// exchange sends messages, unless the connection is not quiet, and reads the response until the server is ready for a query or, if expect
 // is not zero, until that many messages were answered or one has failed.
 func (w *Work) exchange(ctx context.Context, data []byte, expect uint32, sink Sink) (*reply, error) {
 	c := w.conn
 	r := &reply{inTransaction: c.inTransaction}
-	c.quiet(w.pool.h.Now())
+	if !c.quiet(w.pool.h.Now()) {
+		r.unsent = true
+		return r, errNotQuiet
+	}
 	deadline, _ := ctx.Deadline()
 	c.SetDeadline(deadline)
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
--- a/internal/traffic/holder/work__finish.go
+++ b/internal/traffic/holder/work__finish.go
@@ -17,11 +17,11 @@
 }
 
 // connectionLost returns the error for a connection that was lost before the response was complete.
-// Reads on a replica have no effect, and neither does a transaction whose commit was not sent: the
-// verdict is NotRun then, unless part of the response was forwarded.
+// Reads on a replica have no effect, and neither does what was not sent or a transaction whose commit was
+// not sent: the verdict is NotRun then, unless part of the response was forwarded.
 func (w *Work) connectionLost(b *wire.Batch, r *reply, err error) error {
 	verdict := fault.MayHaveRun
-	noEffect := !w.onPrimary || (r.inTransaction && !b.Commits)
+	noEffect := r.unsent || !w.onPrimary || (r.inTransaction && !b.Commits)
 	if noEffect && !r.forwarded {
 		verdict = fault.NotRun
 	}
