stmt: Separate words as PostgreSQL's lexer does

Callers were promised that a COMMIT had not run, though it had: the words of a comment counted, so that COMMIT /* TO t */ was taken for a ROLLBACK TO, which ends no transaction; with its answer lost the verdict was NotRun. Comments did not nest, so that '/* /* */ SELECT */ COMMIT' was a read: it was tried on a replica, might run twice, and as DISCARD or SET it would have been forwarded and its settings kept for the next caller. A '--' comment ended at LF alone, so that '-- x' CR 'DELETE FROM t' was answered as empty and never ran. BEGIN with READ ONLY in a comment went to a replica.

Comments now nest, end at CR as at LF, and count as one blank; form feed and vertical tab are blanks, U+00A0 is not; a word ends where the server's ends. Quotes are kept as they are. Semicolons count wherever they stand, as before, since the end of a quote depends on a setting of the server.

--- a/internal/traffic/stmt/stmt.go
+++ b/internal/traffic/stmt/stmt.go
@@ -1,5 +1,5 @@
-// Package stmt classifies SQL statements by their first words. It doesn't parse SQL: a statement
-// that looks like a read is tried on a replica, which rejects it if it writes.
+// Package stmt classifies SQL statements by their first words, which it separates as PostgreSQL's lexer does.
+// It doesn't parse SQL: a statement that looks like a read is tried on a replica, which rejects it if it writes.
 package stmt
 
 import "strings"
@@ -60,34 +60,41 @@
 
 // Classify returns the kind and the properties of a statement text.
 func Classify(text string) Statement {
+	single := isSingle(text)
 	text = trimStart(text)
 	if text == "" {
 		return Statement{Kind: Empty, Single: true}
 	}
-	st := Statement{Verb: firstWord(text), Single: isSingle(text)}
+	st := Statement{Verb: firstWord(text), Single: single}
 	st.Kind = kindByVerb[st.Verb]
 	switch st.Kind {
+	case Begin, End, Set, Show, Reset:
+		text = plain(text)
+	}
+	switch st.Kind {
 	case Begin:
-		st.ReadOnly = strings.Contains(strings.ToUpper(text), "READ ONLY")
+		upper := strings.ToUpper(text)
+		st.ReadOnly = strings.Contains(upper, " READ ONLY") && !strings.Contains(upper, " READ WRITE")
 	case End:
-		st.refineEnd(text)
+		st.refineEnd(strings.Split(strings.ToUpper(text), " "))
 	case Set, Show, Reset:
-		st.parseParameter(strings.TrimSpace(strings.TrimRight(text[len(st.Verb):], "; \t\r\n")))
+		st.parseParameter(strings.Trim(text[len(st.Verb):], " ;"))
 	}
 	return st
 }
 
 // refineEnd corrects the kind of statements that start like an End statement: ROLLBACK TO a
 // savepoint is a Write, and COMMIT PREPARED and ROLLBACK PREPARED are unsupported.
-func (st *Statement) refineEnd(text string) {
-	words := strings.Fields(strings.ToUpper(text))
-	for _, w := range words[:min(len(words), 3)] {
-		if w == "TO" {
-			st.Kind = Write
-		}
-		if w == "PREPARED" {
-			st.Kind = Unsupported
-		}
+func (st *Statement) refineEnd(words []string) {
+	rest := words[1:]
+	if len(rest) > 0 && (rest[0] == "WORK" || rest[0] == "TRANSACTION") {
+		rest = rest[1:]
+	}
+	switch {
+	case len(words) > 1 && words[1] == "PREPARED":
+		st.Kind = Unsupported
+	case len(rest) > 0 && rest[0] == "TO" && words[0] == "ROLLBACK":
+		st.Kind = Write
 	}
 }
 
@@ -116,7 +123,7 @@
 			rest = strings.TrimSpace(rest[len(scope):])
 		}
 	}
-	end := strings.IndexAny(rest, " =\t\r\n")
+	end := strings.IndexAny(rest, " =")
 	if end < 0 {
 		st.Name = strings.ToLower(rest)
 		return
@@ -141,38 +148,108 @@
 
 // trimStart removes blanks, comments, semicolons and opening parentheses from the start of a text.
 func trimStart(text string) string {
-	for {
-		text = strings.TrimLeft(text, " \t\r\n;(")
+	for text != "" {
+		n, space := skip(text)
+		if !space && text[0] != ';' && text[0] != '(' {
+			break
+		}
+		text = text[n:]
+	}
+	return text
+}
+
+// plain returns the text with each run of blanks and comments outside of quotes replaced by one space.
+func plain(text string) string {
+	var b strings.Builder
+	for i := 0; i < len(text); {
+		n, space := skip(text[i:])
 		switch {
-		case strings.HasPrefix(text, "--"):
-			_, rest, _ := strings.Cut(text, "\n")
-			text = rest
-		case strings.HasPrefix(text, "/*"):
-			_, rest, ok := strings.Cut(text[2:], "*/")
-			if !ok {
-				return ""
+		case space:
+			if s := b.String(); s == "" || s[len(s)-1] != ' ' {
+				b.WriteByte(' ')
 			}
-			text = rest
+		case i > 0 && text[i] == '\'' && (text[i-1] == 'E' || text[i-1] == 'e'):
+			n = quotedLen(text[i:], true)
+			b.WriteString(text[i : i+n])
 		default:
-			return text
+			b.WriteString(text[i : i+n])
+		}
+		i += n
+	}
+	return b.String()
+}
+
+// skip returns the length of the blank, the comment, the quoted text or the single byte that a text starts with,
+// and whether it separates words: PostgreSQL's comments nest, and the others end at any end of a line.
+func skip(text string) (n int, space bool) {
+	switch {
+	case strings.IndexByte(blanks, text[0]) >= 0:
+		return 1, true
+	case strings.HasPrefix(text, "--"):
+		if end := strings.IndexAny(text, "\r\n"); end >= 0 {
+			return end, true
+		}
+		return len(text), true
+	case strings.HasPrefix(text, "/*"):
+		return commentLen(text), true
+	case text[0] == '\'' || text[0] == '"':
+		return quotedLen(text, false), false
+	}
+	return 1, false
+}
+
+// blanks are the white space of PostgreSQL. Other white space of Unicode is part of words.
+const blanks = " \t\n\r\f\v"
+
+// commentLen returns the length of the comment that a text starts with.
+func commentLen(text string) int {
+	depth := 0
+	for i := 0; i+1 < len(text); i++ {
+		switch text[i : i+2] {
+		case "/*":
+			depth++
+			i++
+		case "*/":
+			depth--
+			i++
+		}
+		if depth == 0 {
+			return i + 1
 		}
 	}
+	return len(text)
 }
 
-// firstWord returns the leading ASCII letters of a text in upper case.
+// quotedLen returns the length of the quoted text that a text starts with.
+func quotedLen(text string, escapes bool) int {
+	for i := 1; i < len(text); i++ {
+		switch {
+		case text[i] == text[0]:
+			return i + 1
+		case escapes && text[i] == '\\':
+			i++
+		}
+	}
+	return len(text)
+}
+
+// firstWord returns the first word of a text in upper case, if it is one of ASCII letters.
 func firstWord(text string) string {
 	end := 0
 	for end < len(text) && isLetter(text[end]) {
 		end++
 	}
+	if end < len(text) && (text[end] >= 0x80 || text[end] == '_' || text[end] == '$' || text[end] >= '0' && text[end] <= '9') {
+		return ""
+	}
 	return strings.ToUpper(text[:end])
 }
 
 func isLetter(c byte) bool { return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') }
 
-// isSingle reports whether the text has no semicolon except at its end. A semicolon inside quotes
-// counts too: the statement then goes to the primary although a replica could have run it.
+// isSingle reports whether the text has no semicolon except at its end. A semicolon inside quotes or comments
+// counts too: where those end depends on settings of the backend server. The statement then goes to the primary
+// although a replica could have run it.
 func isSingle(text string) bool {
-	text = strings.TrimRight(text, "; \t\r\n")
-	return !strings.Contains(text, ";")
+	return !strings.Contains(strings.TrimRight(text, ";"+blanks), ";")
 }
