holder: Leave in doubt what a lost Sync commits

A caller that sends Execute and Flush, and then Sync, was promised that its write had not run when the answer to the Sync was lost, although it had: outside of a transaction the Sync commits. The connection counts as in a transaction until it is ready, and the batch with the Sync has no statement that may end one; so the loss was taken for that of a transaction whose commit was not sent. Drivers that describe a statement before they execute it send such batches. A connection now remembers that a Sync is outstanding; what is lost then may have run. In a transaction this is more careful than needed.

--- a/internal/traffic/holder/reply.go
+++ b/internal/traffic/holder/reply.go
@@ -35,8 +35,10 @@
 	ready bool
 	// forwarded is set once a part of the response was passed to the sink.
 	forwarded bool
-	// inTransaction is set for a batch that was sent in an open transaction.
+	// inTransaction is set for a batch that was sent in an open transaction, and unsynced for one that follows
+	// statements without a Sync.
 	inTransaction bool
+	unsynced      bool
 	// answered is the number of messages of the batch that were answered.
 	answered uint32
 	// unsent is set if nothing of the batch was sent.
@@ -50,7 +52,7 @@
 // is not zero, until that many messages were answered or one has failed.
 func (w *Work) exchange(ctx context.Context, data []byte, expect uint32, sink Sink) (*reply, error) {
 	c := w.conn
-	r := &reply{inTransaction: c.inTransaction}
+	r := &reply{inTransaction: c.inTransaction, unsynced: c.unsynced}
 	if !c.quiet(w.pool.h.Now()) {
 		r.unsent = true
 		return r, errNotQuiet
@@ -71,7 +73,7 @@
 			return r, err
 		}
 	}
-	c.inTransaction = !r.ready || r.status != Idle
+	c.inTransaction, c.unsynced = !r.ready || r.status != Idle, !r.ready
 	if !r.ready {
 		r.status = InTransaction
 	}
--- a/internal/traffic/holder/server.go
+++ b/internal/traffic/holder/server.go
@@ -61,6 +61,9 @@
 	// inTransaction is set while a transaction is open or the server has not reported that it is
 	// ready for a query.
 	inTransaction bool
+	// unsynced is set while statements of the extended protocol were sent whose Sync was not: it commits them
+	// unless a transaction is open.
+	unsynced bool
 	// canceled is set once a cancel request was sent for the connection.
 	canceled bool
 }
--- a/internal/traffic/holder/work__finish.go
+++ b/internal/traffic/holder/work__finish.go
@@ -21,7 +21,7 @@
 // not sent: the verdict is NotRun then, unless part of the response was forwarded.
 func (w *Work) connectionLost(b *wire.Batch, r *reply, err error) error {
 	verdict := fault.MayHaveRun
-	noEffect := r.unsent || !w.onPrimary || (r.inTransaction && !b.Commits)
+	noEffect := r.unsent || !w.onPrimary || (r.inTransaction && !r.unsynced && !b.Commits)
 	if noEffect && !r.forwarded {
 		verdict = fault.NotRun
 	}
