entry: Expect anything of a portal that an earlier batch bound

A caller that bound COMMIT to a portal in one batch and executed it in the next was promised, when the answer was lost, that it had not run; it had. The texts that decide what a batch may do were those bound in the batch itself: a batch with none counted as a read that ends no transaction and changes no settings, so that the connection was also lent again with whatever the portal's statement had set.

Such a batch now goes to the primary, may end the transaction and has the connection's session reset. Portals are also told apart by name: Execute and Describe of one portal were taken for the last that was bound.

--- a/internal/traffic/entry/session__extended.go
+++ b/internal/traffic/entry/session__extended.go
@@ -24,8 +24,11 @@
 	// it is valid if unnamedParsed is set.
 	unnamedSource string
 	unnamedParsed bool
-	// boundQueries are the texts of the bound statements, in order.
-	boundQueries      []string
+	// boundQueries are the texts of the bound statements, and portals the text by portal.
+	boundQueries []string
+	portals      map[string]string
+	// unknownPortal is set if a portal is executed that was bound in an earlier batch.
+	unknownPortal     bool
 	beginsTransaction bool
 	// parseCount is the number of Parse messages in the batch. injectedParses has the indexes
 	// of those that the proxy added; the caller must not see their responses.
@@ -36,7 +39,7 @@
 // runExtended runs a batch of the extended query protocol. It ends with Sync if sync is set, or
 // else with Flush.
 func (s *session) runExtended(data []byte, sync bool) {
-	eb := &extendedBatch{s: s, batch: &wire.Batch{}, injectedParses: map[int]bool{}}
+	eb := &extendedBatch{s: s, batch: &wire.Batch{}, injectedParses: map[int]bool{}, portals: map[string]string{}}
 	answer, err := eb.decodeMessages(data)
 	switch {
 	case err != nil:
@@ -91,10 +94,11 @@
 }
 
 // classify sets from the bound statements whether the batch may run on a replica, commits,
-// may change settings of the connection or begins a transaction.
+// may change settings of the connection or begins a transaction. The statement of an unknown portal may do
+// anything.
 func (eb *extendedBatch) classify() {
 	b := eb.batch
-	b.Mayread = true
+	b.Mayread, b.Commits, b.Dirty = !eb.unknownPortal, eb.unknownPortal, eb.unknownPortal
 	for _, text := range eb.boundQueries {
 		st := stmt.Classify(text)
 		b.Mayread = b.Mayread && st.MayRunOnReplica()
@@ -225,6 +229,7 @@
 		return nil, err
 	}
 	eb.boundQueries = append(eb.boundQueries, st.Query)
+	eb.portals[m.DestinationPortal] = st.Query
 	if eb.s.answeredLocally(st.Query) {
 		return encodeMessages(nil, &pgproto3.BindComplete{}), nil
 	}
@@ -249,7 +254,7 @@
 		return nil, malformedMessage("Describe")
 	}
 	if m.ObjectType == 'P' {
-		if text, ok := eb.localQuery(); ok {
+		if text, ok := eb.portals[m.Name]; ok && eb.s.answeredLocally(text) {
 			return encodeMessages(nil, localDescription(text)), nil
 		}
 		return nil, eb.appendMessage(m)
@@ -265,15 +270,6 @@
 	return nil, eb.appendMessage(m)
 }
 
-// localQuery returns the latest bound statement, and whether the proxy answers it itself.
-func (eb *extendedBatch) localQuery() (string, bool) {
-	if len(eb.boundQueries) == 0 {
-		return "", false
-	}
-	text := eb.boundQueries[len(eb.boundQueries)-1]
-	return text, eb.s.answeredLocally(text)
-}
-
 // localDescription returns the row description of a statement that the proxy answers itself.
 func localDescription(text string) pgproto3.BackendMessage {
 	if st := stmt.Classify(text); st.Kind == stmt.Show {
@@ -287,8 +283,12 @@
 	if m.Decode(body) != nil {
 		return nil, malformedMessage("Execute")
 	}
-	text, ok := eb.localQuery()
-	if !ok {
+	text, ok := eb.portals[m.Portal]
+	if !ok && !eb.s.transactionLost {
+		eb.unknownPortal = true
+		return nil, eb.appendMessage(m)
+	}
+	if !eb.s.answeredLocally(text) {
 		return nil, eb.appendMessage(m)
 	}
 	_, answer, err := eb.s.answerLocal(stmt.Classify(text))
