holder: Take a ReadyForQuery without a state for a lost connection

A backend server ended the host with one message: ReadyForQuery without the byte of its state was read as if it had one, and the panic of that request's goroutine ended the process, for all callers. Such a message, or one with a state that the protocol does not have, now ends the connection; the statement is in doubt as with any lost connection.

--- a/internal/traffic/holder/reply.go
+++ b/internal/traffic/holder/reply.go
@@ -48,6 +48,9 @@
 // errNotQuiet means that a connection was closed by its server, or held bytes that no statement waits for.
 var errNotQuiet = errors.New("connection was closed or held an answer that no statement waits for")
 
+// errNoState means that a server was ready for a query without a transaction state of the protocol.
+var errNoState = errors.New("server is ready in an unknown transaction state")
+
 // exchange sends messages, unless the connection is not quiet, and reads the response until the server is ready for a query or, if expect
 // is not zero, until that many messages were answered or one has failed.
 func (w *Work) exchange(ctx context.Context, data []byte, expect uint32, sink Sink) (*reply, error) {
@@ -97,6 +100,9 @@
 	case '1', '2', '3', 'I', 'n', 'T', 's': // other responses that complete a message of the batch
 		r.answered++
 	case 'Z': // ReadyForQuery
+		if len(body) != 1 || body[0] != Idle && body[0] != InTransaction && body[0] != InFailedTransaction {
+			return errNoState
+		}
 		r.ready = true
 		r.status = body[0]
 	case 'D': // DataRow
