holder: Refuse an answer that can't be the statement's

Whatever a backend server sent was the answer to the statement that waited: a write was acknowledged with the answer of a BEGIN, and a write with a key although its COMMIT was answered with "UPDATE 1" of the statement before, so that it was never known to have committed. A look at the connection beforehand can't tell an answer that arrives after the statement was sent.

Each message is now checked against what the batch allows: answers in the order of its messages, rows after their description, an answer before the server is ready, nothing else but what may come at any time (notices, notifications, parameters). The state at the end must be one that the statement can lead to, and statements of the proxy itself must be completed by their own tag; before, an UPDATE of a key's outcome that failed and turned the COMMIT into a rollback counted as committed. An answer that breaks one of this is counted (answers.impossible), logged, and the connection closed, with the verdict of a lost connection.

--- a/internal/traffic/holder/deployment_test.go
+++ b/internal/traffic/holder/deployment_test.go
@@ -341,6 +341,3 @@
 	word, _, _ := strings.Cut(rest, " ")
 	return word
 }
-
-// readyMessage returns a ReadyForQuery message.
-func readyMessage(status string) []byte { return adapt.AppendMessage(nil, 'Z', []byte(status)) }
--- a/internal/traffic/holder/holder.go
+++ b/internal/traffic/holder/holder.go
@@ -356,8 +356,18 @@
 // reportUnasked counts and logs a message of a backend server that no statement waits for.
 func (h *Holder) reportUnasked(now time.Time, c *conn, kind byte) {
 	h.Meter.AddCounter("answers.unasked", 1)
+	h.logAnswer(now, c, kind, "backend server sent what no statement waits for")
+}
+
+// reportImpossible counts and logs a message that can't be a part of the answer to the statement that was sent.
+func (h *Holder) reportImpossible(now time.Time, c *conn, kind byte) {
+	h.Meter.AddCounter("answers.impossible", 1)
+	h.logAnswer(now, c, kind, "backend server's answer does not belong to the statement")
+}
+
+func (h *Holder) logAnswer(now time.Time, c *conn, kind byte, text string) {
 	if skipped, ok := h.answerLines.Allow(now); ok {
-		h.Log.WithField("instance", c.server.name).WithField("message", string(kind)).WithField("transaction", c.inTransaction).
-			WithField("skipped", skipped).Warn("backend server sent what no statement waits for")
+		h.Log.WithField("instance", c.server.name).WithField("message", string(rune(kind))).WithField("transaction", c.inTransaction).
+			WithField("skipped", skipped).Warn(text)
 	}
 }
--- a/internal/traffic/holder/reply.go
+++ b/internal/traffic/holder/reply.go
@@ -10,6 +10,7 @@
 
 	"github.com/agatespindle/agatespindle/internal/backend/adapt"
 	"github.com/agatespindle/agatespindle/internal/base/fault"
+	"github.com/agatespindle/agatespindle/internal/base/wire"
 	"github.com/agatespindle/agatespindle/internal/traffic/token"
 )
 
@@ -39,8 +40,6 @@
 	// statements without a Sync.
 	inTransaction bool
 	unsynced      bool
-	// answered is the number of messages of the batch that were answered.
-	answered uint32
 	// unsent is set if nothing of the batch was sent.
 	unsent bool
 }
@@ -51,33 +50,44 @@
 // errNoState means that a server was ready for a query without a transaction state of the protocol.
 var errNoState = errors.New("server is ready in an unknown transaction state")
 
-// exchange sends messages, unless the connection is not quiet, and reads the response until the server is ready for a query or, if expect
-// is not zero, until that many messages were answered or one has failed.
-func (w *Work) exchange(ctx context.Context, data []byte, expect uint32, sink Sink) (*reply, error) {
+// exchange sends the messages of a batch, unless the connection is not quiet, and reads the response until the
+// server is ready for a query or, after a Flush, until all messages were answered or one has failed.
+func (w *Work) exchange(ctx context.Context, b *wire.Batch, sink Sink) (*reply, error) {
 	c := w.conn
 	r := &reply{inTransaction: c.inTransaction, unsynced: c.unsynced}
 	if !c.quiet(w.pool.h.Now()) {
 		r.unsent = true
 		return r, errNotQuiet
 	}
+	answered := b.Data
+	if c.skipping {
+		answered = afterError(answered)
+	}
+	x := expectAnswer(answered, c.status, b.Commits || c.unsynced)
 	deadline, _ := ctx.Deadline()
 	c.SetDeadline(deadline)
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	if _, err := c.Write(data); err != nil {
+	if _, err := c.Write(b.Data); err != nil {
 		return r, err
 	}
-	for !r.ready && (expect == 0 || (r.answered < expect && r.sqlState == "")) {
+	for len(x.open) > 0 {
 		kind, body, err := adapt.ReadMessage(c.r)
 		if err != nil {
 			return r, err
 		}
+		if !x.takes(kind, body) {
+			w.pool.h.reportImpossible(w.pool.h.Now(), c, kind)
+			return r, errImpossible
+		}
 		if err := r.add(kind, body, sink); err != nil {
 			return r, err
 		}
 	}
-	c.inTransaction, c.unsynced = !r.ready || r.status != Idle, !r.ready
-	if !r.ready {
+	c.inTransaction, c.unsynced, c.skipping = !r.ready || r.status != Idle, !r.ready, !r.ready && (c.skipping || x.failed)
+	if r.ready {
+		c.status = r.status
+	} else {
 		r.status = InTransaction
 	}
 	return r, nil
@@ -96,9 +106,6 @@
 		return fault.New(fault.MayHaveRun, fault.Unsupported, "COPY is not supported")
 	case 'C': // CommandComplete
 		r.commandTag = string(bytes.TrimSuffix(body, []byte{0}))
-		r.answered++
-	case '1', '2', '3', 'I', 'n', 'T', 's': // other responses that complete a message of the batch
-		r.answered++
 	case 'Z': // ReadyForQuery
 		if len(body) != 1 || body[0] != Idle && body[0] != InTransaction && body[0] != InFailedTransaction {
 			return errNoState
@@ -153,11 +160,17 @@
 	r.rows = append(r.rows, row)
 }
 
-// query runs a simple query of the proxy itself and keeps its rows.
-func (w *Work) query(ctx context.Context, text string) (*reply, error) {
+// query runs a simple query of the proxy itself and keeps its rows. The tag of its last statement starts with
+// the given word, unless the query fails.
+func (w *Work) query(ctx context.Context, text, word string) (*reply, error) {
 	b, err := (&pgproto3.Query{String: text}).Encode(nil)
 	if err != nil {
 		return &reply{}, err
 	}
-	return w.exchange(ctx, b, 0, nil)
+	r, err := w.exchange(ctx, &wire.Batch{Data: b, Commits: true}, nil)
+	if err == nil && r.sqlState == "" && !completes(r.commandTag, word) {
+		w.pool.h.reportImpossible(w.pool.h.Now(), w.conn, 'C')
+		return r, errImpossible
+	}
+	return r, err
 }
--- a/internal/traffic/holder/server.go
+++ b/internal/traffic/holder/server.go
@@ -64,6 +64,10 @@
 	// unsynced is set while statements of the extended protocol were sent whose Sync was not: it commits them
 	// unless a transaction is open.
 	unsynced bool
+	// skipping is set while the server skips messages up to the next Sync.
+	skipping bool
+	// status is the transaction state that the server has last reported.
+	status byte
 	// canceled is set once a cancel request was sent for the connection.
 	canceled bool
 }
@@ -203,7 +207,7 @@
 		s.pool.mu.Unlock()
 		return nil, fault.New(fault.NotRun, fault.NoBackend, "cannot connect to backend server %s", s.name).WithCause(err)
 	}
-	return &conn{ServerConn: raw, r: bufio.NewReaderSize(raw, 16<<10), server: s}, nil
+	return &conn{ServerConn: raw, r: bufio.NewReaderSize(raw, 16<<10), server: s, status: Idle}, nil
 }
 
 // unaskedReadTimeout limits the read of a byte that the socket is known to hold.
--- a/internal/traffic/holder/work.go
+++ b/internal/traffic/holder/work.go
@@ -101,7 +101,7 @@
 // resetSession restores the default settings of the connection's session. It reports whether that
 // worked.
 func (w *Work) resetSession(ctx context.Context) bool {
-	r, err := w.query(ctx, "DISCARD ALL")
+	r, err := w.query(ctx, "DISCARD ALL", "DISCARD")
 	return err == nil && r.sqlState == "" && r.status == Idle
 }
 
@@ -214,7 +214,7 @@
 // response is complete.
 func (w *Work) send(ctx context.Context, b *wire.Batch, sink Sink, release func()) (Outcome, error) {
 	w.sessionDirty = w.sessionDirty || b.Dirty
-	r, err := w.exchange(ctx, b.Data, b.Expect, sink)
+	r, err := w.exchange(ctx, b, sink)
 	release()
 	if err != nil {
 		w.closeConn()
--- a/internal/traffic/holder/work__key.go
+++ b/internal/traffic/holder/work__key.go
@@ -62,8 +62,8 @@
 
 // queryBeforeCommit runs a statement that precedes the commit of its transaction. If the connection
 // is lost, the error has verdict NotRun, because nothing takes effect.
-func (w *Work) queryBeforeCommit(ctx context.Context, text string) (*reply, error) {
-	r, err := w.query(ctx, text)
+func (w *Work) queryBeforeCommit(ctx context.Context, text, word string) (*reply, error) {
+	r, err := w.query(ctx, text, word)
 	if err != nil {
 		return r, fault.New(fault.NotRun, fault.ConnectionLost, "connection to the backend server was lost").WithCause(err)
 	}
@@ -72,23 +72,23 @@
 
 // runKeyedTransaction returns the reply to the batch or, if its key exists, the first outcome.
 func (w *Work) runKeyedTransaction(ctx context.Context, b *wire.Batch) (*reply, *storedOutcome, error) {
-	if _, err := w.queryBeforeCommit(ctx, "BEGIN"); err != nil {
+	if _, err := w.queryBeforeCommit(ctx, "BEGIN", "BEGIN"); err != nil {
 		return nil, nil, err
 	}
 	first, err := w.claimKey(ctx, b)
 	if err != nil || first != nil {
 		return nil, first, err
 	}
-	r, err := w.exchange(ctx, b.Data, b.Expect, func([]byte) error { return nil })
+	r, err := w.exchange(ctx, b, func([]byte) error { return nil })
 	if err != nil {
 		return nil, nil, fault.New(fault.NotRun, fault.ConnectionLost, "connection to the backend server was lost").WithCause(err)
 	}
 	if r.status != InTransaction {
-		_, err := w.queryBeforeCommit(ctx, "ROLLBACK")
+		_, err := w.queryBeforeCommit(ctx, "ROLLBACK", "ROLLBACK")
 		r.overrideStatus(Idle)
 		return r, nil, err
 	}
-	if _, err := w.queryBeforeCommit(ctx, fmt.Sprintf(updateOutcomeSQL, quote(r.commandTag), quote(b.Key))); err != nil {
+	if _, err := w.queryBeforeCommit(ctx, fmt.Sprintf(updateOutcomeSQL, quote(r.commandTag), quote(b.Key)), "UPDATE"); err != nil {
 		return nil, nil, err
 	}
 	return w.commitKeyed(ctx, r)
@@ -97,7 +97,7 @@
 // commitKeyed commits the transaction of a keyed batch and adds the commit's position to the
 // batch's reply.
 func (w *Work) commitKeyed(ctx context.Context, r *reply) (*reply, *storedOutcome, error) {
-	committed, err := w.query(ctx, "COMMIT")
+	committed, err := w.query(ctx, "COMMIT", "COMMIT")
 	if err != nil {
 		return nil, nil, fault.New(fault.MayHaveRun, fault.ConnectionLost, "connection to the backend server was lost during the commit").WithCause(err)
 	}
@@ -117,11 +117,11 @@
 // exist yet, and tries once more.
 func (w *Work) claimKey(ctx context.Context, b *wire.Batch) (*storedOutcome, error) {
 	for try := 0; ; try++ {
-		r, err := w.queryBeforeCommit(ctx, w.keyInsertion(b))
+		r, err := w.queryBeforeCommit(ctx, w.keyInsertion(b), "INSERT")
 		if err != nil || r.sqlState == "" {
 			return nil, err
 		}
-		if _, err := w.queryBeforeCommit(ctx, "ROLLBACK"); err != nil {
+		if _, err := w.queryBeforeCommit(ctx, "ROLLBACK", "ROLLBACK"); err != nil {
 			return nil, err
 		}
 		switch {
@@ -132,10 +132,10 @@
 		case try > 0:
 			return nil, fault.New(fault.NotRun, fault.Internal, "cannot record the idempotency key: SQLSTATE %s", r.sqlState)
 		}
-		if _, err := w.queryBeforeCommit(ctx, createKeysSQL); err != nil {
+		if _, err := w.queryBeforeCommit(ctx, createKeysSQL, "CREATE"); err != nil {
 			return nil, err
 		}
-		if _, err := w.queryBeforeCommit(ctx, "BEGIN"); err != nil {
+		if _, err := w.queryBeforeCommit(ctx, "BEGIN", "BEGIN"); err != nil {
 			return nil, err
 		}
 	}
@@ -163,7 +163,7 @@
 // insertKey inserts a key in the caller's own transaction. If the key exists, the transaction has
 // run before.
 func (w *Work) insertKey(ctx context.Context, b *wire.Batch) error {
-	r, err := w.queryBeforeCommit(ctx, fmt.Sprintf(insertKeySQL, quote(b.Key), quote("transaction"), w.pool.h.Now().Unix()))
+	r, err := w.queryBeforeCommit(ctx, fmt.Sprintf(insertKeySQL, quote(b.Key), quote("transaction"), w.pool.h.Now().Unix()), "INSERT")
 	switch {
 	case err != nil:
 		return err
@@ -178,7 +178,7 @@
 // loadOutcome returns the outcome stored with the batch's key. The key must have been used for the
 // same statement.
 func (w *Work) loadOutcome(ctx context.Context, b *wire.Batch) (*storedOutcome, error) {
-	r, err := w.queryBeforeCommit(ctx, fmt.Sprintf(selectOutcomeSQL, quote(b.Key)))
+	r, err := w.queryBeforeCommit(ctx, fmt.Sprintf(selectOutcomeSQL, quote(b.Key)), "SELECT")
 	if err != nil {
 		return nil, err
 	}
