--- a/internal/traffic/holder/deployment_test.go
+++ b/internal/traffic/holder/deployment_test.go
@@ -43,6 +43,8 @@
 
 	mu     sync.Mutex
 	meddle meddler
+	// wrap, if set, returns the proxy's end of new connections in place of the given one.
+	wrap func(net.Conn) net.Conn
 }
 
 // startDeployment starts a deployment and waits until callers are served.
@@ -196,6 +198,11 @@
 	r := &relayed{d: d, proxy: proxy, server: server}
 	go r.requests()
 	go r.answers()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.wrap != nil {
+		client = d.wrap(client)
+	}
 	return client, nil
 }
 
@@ -298,6 +305,11 @@
 	if err := s.f.Flush(); err != nil {
 		return answer{err: err}
 	}
+	return s.receive(left)
+}
+
+// receive reads the answer to messages that were sent, up to ReadyForQuery or until left of them are answered.
+func (s *session) receive(left int) answer {
 	var a answer
 	for left != 0 {
 		m, err := s.f.Receive()
