holder: End a request's deadline before its connection is lent again

A statement was lost with MayHaveRun because another caller had left: the end of that one's request sets the deadline of the connection to the past, in a goroutine that nobody waited for. It might do so after the answer had arrived and the connection was lent to the next caller. The exchange now waits for it, and the next exchange sets its own deadline.

--- a/internal/traffic/holder/reply.go
+++ b/internal/traffic/holder/reply.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -66,8 +65,7 @@
 	x := expectAnswer(answered, c.status, b.Commits || c.unsynced)
 	deadline, _ := ctx.Deadline()
 	c.SetDeadline(deadline)
-	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
+	defer c.expireWith(ctx)()
 	if _, err := c.Write(b.Data); err != nil {
 		return r, err
 	}
--- a/internal/traffic/holder/server.go
+++ b/internal/traffic/holder/server.go
@@ -227,6 +227,21 @@
 	return false
 }
 
+// expireWith has calls on the connection fail once ctx ends. The returned function ends that: after it the
+// deadline of the connection no longer changes.
+func (c *conn) expireWith(ctx context.Context) func() {
+	expired := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(expired)
+		_ = c.SetDeadline(time.Unix(1, 0))
+	})
+	return func() {
+		if !stop() {
+			<-expired
+		}
+	}
+}
+
 // put makes the connection idle for reuse, or closes it if it is not reusable.
 func (c *conn) put(reusable bool) {
 	s := c.server
