adapt: Read no message that has no size

The limit of ReadMessage counted the body of a message, that of MessageSize the length field with it, so that messages of the last four sizes were read but had no size: the filter that drops the proxy's own ParseComplete advances by the size and would not advance over such a row, for ever, with a core busy (read, not run). Who writes rows chooses their size. Both have one limit now, the smaller.

--- a/internal/backend/adapt/read.go
+++ b/internal/backend/adapt/read.go
@@ -6,7 +6,7 @@
 	"io"
 )
 
-// MaxMessageBytes is the largest PostgreSQL protocol message that is accepted.
+// MaxMessageBytes is the largest PostgreSQL protocol message that is accepted, without its type.
 const MaxMessageBytes = 64 << 20
 
 // headerBytes is the size of a message header: one byte of type and four of length.
@@ -19,11 +19,11 @@
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return 0, nil, err
 	}
-	n := int64(binary.BigEndian.Uint32(header[1:])) - 4
-	if n < 0 || n > MaxMessageBytes {
-		return 0, nil, fmt.Errorf("message of type %q has invalid length %d", header[0], n)
+	size, ok := MessageSize(header[:])
+	if !ok {
+		return 0, nil, fmt.Errorf("message of type %q has invalid length %d", header[0], binary.BigEndian.Uint32(header[1:]))
 	}
-	body = make([]byte, n)
+	body = make([]byte, size-headerBytes)
 	_, err = io.ReadFull(r, body)
 	return header[0], body, err
 }
