entry: Find the end of an answer by its messages, not by a byte

The row xZ arrived as xS, and nothing after it could be read. The session's new position goes before the ReadyForQuery of an answer, which was looked for as a Z six bytes from its end. An answer up to a Flush has no ReadyForQuery; if it ends with a message of five bytes, such as PortalSuspended, that byte is the last one of a row, and whoever wrote the row chooses it. The message was inserted inside the row.

The last message is now found by the sizes of the messages. An answer without ReadyForQuery gets the position at its end; before, it was dropped.

--- a/internal/traffic/entry/session__run.go
+++ b/internal/traffic/entry/session__run.go
@@ -137,14 +137,15 @@
 	return nil
 }
 
-// readyForQuerySize is the size of a ReadyForQuery message in bytes, including its header.
-const readyForQuerySize = 6
-
-// flush forwards the delayed chunk, with status inserted before its ReadyForQuery if it has one.
+// flush forwards the delayed chunk, with status before its ReadyForQuery or, if it has none, at its end.
 func (l *lastChunkBuffer) flush(status []byte) error {
 	b := l.chunk
 	l.chunk = nil
-	if n := len(b) - readyForQuerySize; len(status) > 0 && n >= 0 && b[n] == 'Z' {
+	if len(status) > 0 {
+		n := lastMessage(b)
+		if n < len(b) && b[n] != 'Z' {
+			n = len(b)
+		}
 		b = append(b[:n:n], append(status, b[n:]...)...)
 	}
 	if len(b) == 0 {
@@ -153,6 +154,20 @@
 	return l.out(b)
 }
 
+// lastMessage returns where the last of the messages in b begins. Their contents say nothing about that.
+func lastMessage(b []byte) int {
+	last := 0
+	for at := 0; at < len(b); {
+		last = at
+		n := messageLength(b[at:])
+		if n == 0 {
+			return len(b)
+		}
+		at += n
+	}
+	return last
+}
+
 // runWithRetries runs a batch on the holder. It retries while the batch certainly did not run,
 // no response was sent, and the deadline and the caller's retry budget allow it.
 func (s *session) runWithRetries(b *wire.Batch, sink holder.Sink) (holder.Outcome, error) {
