entry: Refuse a query whose text does not end where the message does

A Query message is a text that ends with a zero byte. One with a zero byte inside was judged and sent on as a whole, while a backend server reads it up to that byte or refuses the message and closes: the caller was told that it might have run (40003), the backend connection was lost, and on a replica the statement was tried again and again, each time at the cost of a connection. One without its zero byte was sent on with one. Both are now answered with 08P01, NotRun, by the host; the session goes on. The other messages are decoded and encoded anew, which refuses or drops such bytes.

--- a/internal/traffic/entry/session__traffic.go
+++ b/internal/traffic/entry/session__traffic.go
@@ -213,8 +213,12 @@
 	kind := b[0]
 	switch kind {
 	case 'Q': // Query
-		text := strings.TrimSuffix(string(b[headerSize:size]), "\x00")
-		s.startRequest(func() { s.runSimple(text) })
+		m := &pgproto3.Query{}
+		if m.Decode(b[headerSize:size]) != nil {
+			s.startRequest(func() { s.replyError(malformedMessage("Query")) })
+			break
+		}
+		s.startRequest(func() { s.runSimple(m.String) })
 	case 'P', 'B', 'D', 'E', 'C': // Parse, Bind, Describe, Execute, Close
 		return size, s.bufferMessage(b[:size])
 	case 'S', 'H': // Sync, Flush
