stand: Refuse bytes that are no text

A write with a byte 0xff was stored as it came on the primary, and as U+FFFD in its log, which is JSON: replicas, and the primary after a restart, had other rows. The stand-in names UTF8 as its encoding; as a PostgreSQL server with that encoding it now refuses such bytes, and zero bytes, in texts and parameters with 22021.

--- a/internal/backend/stand/session.go
+++ b/internal/backend/stand/session.go
@@ -11,6 +11,7 @@
 	"sync"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -65,6 +66,7 @@
 	codeUnknownPortal      = "34000"
 	codeUnsupported        = "0A000"
 	codeProtocolViolation  = "08P01"
+	codeNoText             = "22021"
 )
 
 // serve performs the startup of a connection and serves it as a data or an admin connection,
@@ -276,6 +278,15 @@
 	}
 }
 
+// checkText returns an error unless the text is one in the server's encoding, UTF8. The log, which is JSON, could
+// not hold it as it is.
+func checkText(text string) error {
+	if !utf8.ValidString(text) || strings.IndexByte(text, 0) >= 0 {
+		return &pgError{codeNoText, "invalid byte sequence for encoding \"UTF8\""}
+	}
+	return nil
+}
+
 // unsupported returns the error for a feature that this server does not implement.
 func unsupported(feature string) *pgError {
 	return &pgError{codeUnsupported, fmt.Sprintf("%s is not supported here", feature)}
--- a/internal/backend/stand/session__extended.go
+++ b/internal/backend/stand/session__extended.go
@@ -24,6 +24,9 @@
 func (s *session) extendedMessage(ctx context.Context, m pgproto3.FrontendMessage) error {
 	switch m := m.(type) {
 	case *pgproto3.Parse:
+		if err := checkText(m.Query); err != nil {
+			return err
+		}
 		s.prepared[m.Name] = m.Query
 		s.backend.Send(&pgproto3.ParseComplete{})
 		return nil
@@ -53,7 +56,13 @@
 	}
 	p := &portal{text: text, formats: m.ResultFormatCodes}
 	for i, b := range m.Parameters {
-		p.params = append(p.params, paramText(b, formatAt(m.ParameterFormatCodes, i)))
+		param := paramText(b, formatAt(m.ParameterFormatCodes, i))
+		if param != nil {
+			if err := checkText(*param); err != nil {
+				return err
+			}
+		}
+		p.params = append(p.params, param)
 	}
 	s.portals[m.DestinationPortal] = p
 	s.backend.Send(&pgproto3.BindComplete{})
--- a/internal/backend/stand/session__simple.go
+++ b/internal/backend/stand/session__simple.go
@@ -14,6 +14,10 @@
 // simpleQuery runs the statements of a simple query. Several statements without transaction control
 // run in one implicit transaction, as in PostgreSQL.
 func (s *session) simpleQuery(ctx context.Context, text string) {
+	if err := checkText(text); err != nil {
+		s.sendError(err)
+		return
+	}
 	statements := splitStatements(text)
 	if len(statements) == 0 {
 		s.backend.Send(&pgproto3.EmptyQueryResponse{})
