stand: Refuse a log with a line that is not the next entry

An instance whose log held a line that was no entry started without it and without all entries after it, acknowledged ones, and cut the file there; an entry out of order, or null, was taken as it was. Only a last line without its line end can be the trace of an interrupted write. That one is dropped as before; any other line that is not the next entry keeps the instance from starting.

--- a/internal/backend/stand/log.go
+++ b/internal/backend/stand/log.go
@@ -2,9 +2,9 @@
 
 import (
 	"bufio"
-	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"strconv"
 	"strings"
@@ -50,6 +50,7 @@
 	l := &entryLog{file: f}
 	end, err := l.load()
 	if err != nil {
+		f.Close()
 		return nil, err
 	}
 	if err := f.Truncate(end); err != nil {
@@ -59,19 +60,25 @@
 	return l, err
 }
 
-// load reads entries up to the first incomplete or invalid line and returns the offset in bytes at
-// which the last valid line ends.
+// load reads entries up to an incomplete last line and returns the offset in bytes at which the line before it ends.
+// It returns an error for any other line that is not the next entry.
 func (l *entryLog) load() (int64, error) {
 	r := bufio.NewReader(l.file)
 	var end int64
 	for {
 		line, err := r.ReadBytes('\n')
-		if err != nil {
+		if err == io.EOF {
 			return end, nil
 		}
+		if err != nil {
+			return end, fmt.Errorf("read instance log: %w", err)
+		}
 		var e entry
-		if json.Unmarshal(bytes.TrimSpace(line), &e) != nil {
-			return end, nil
+		if err := json.Unmarshal(line, &e); err != nil {
+			return end, fmt.Errorf("read entry %d of instance log: %w", l.lastPosition()+1, err)
+		}
+		if e.Position != l.lastPosition()+1 {
+			return end, fmt.Errorf("entry %d of instance log is entry %d", l.lastPosition()+1, e.Position)
 		}
 		l.entries = append(l.entries, e)
 		end += int64(len(line))
