stand: End portals with their transaction

A portal was known on its connection for ever: a caller that executes one without binding it would have run the statement that an earlier user of the pooled connection had bound, with that one's parameters. In PostgreSQL portals end with their transaction, and at Sync outside of one. So they do here now.

--- a/internal/backend/stand/session.go
+++ b/internal/backend/stand/session.go
@@ -188,7 +188,11 @@
 	s.sendReady()
 }
 
+// sendReady ends the portals unless a transaction is open: they end with theirs.
 func (s *session) sendReady() {
+	if s.tx == nil {
+		clear(s.portals)
+	}
 	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: s.txStatus})
 	s.backend.Flush()
 }
