stand: Find the first word of a statement behind comments

A statement that begins with a comment had no first word, so that it was run as a write: a read went to the primary and into the log, BEGIN failed inside the transaction that a write opens, and a COMMIT in a transaction was run by the engine alone. Comments at the start are now skipped as PostgreSQL skips them: they nest, and one with -- ends at CR as at LF. A part of a query that holds nothing else is empty.

--- a/internal/backend/stand/session__simple.go
+++ b/internal/backend/stand/session__simple.go
@@ -73,6 +73,7 @@
 
 // run runs one statement. All but transaction control and session settings occupy a slot.
 func (s *session) run(ctx context.Context, text string, params []*string) (*result, error) {
+	text = withoutComments(text)
 	v := keyword(text)
 	if s.txStatus == 'E' && v != "ROLLBACK" && v != "ABORT" && v != "COMMIT" && v != "END" {
 		return nil, &pgError{codeTransactionAborted, "current transaction is aborted, commands ignored until end of transaction block"}
@@ -273,7 +274,7 @@
 }
 
 // splitStatements splits a simple query at semicolons outside of quotes and drops empty parts. It does
-// not recognize comments and dollar quotes.
+// not recognize semicolons in comments and dollar quotes.
 func splitStatements(text string) []string {
 	var parts []string
 	start := 0
@@ -296,7 +297,7 @@
 }
 
 func appendPart(parts []string, part string) []string {
-	if part = strings.TrimSpace(part); part != "" {
+	if part = strings.TrimSpace(part); withoutComments(part) != "" {
 		parts = append(parts, part)
 	}
 	return parts
@@ -304,10 +305,50 @@
 
 // keyword returns the first keyword of a statement in upper case, skipping opening parentheses.
 func keyword(text string) string {
-	text = strings.TrimLeft(text, " \t\r\n(")
+	text = strings.TrimLeft(withoutComments(text), blanks+"(")
 	end := strings.IndexFunc(text, func(r rune) bool { return (r < 'a' || r > 'z') && (r < 'A' || r > 'Z') })
 	if end < 0 {
 		end = len(text)
 	}
 	return strings.ToUpper(text[:end])
 }
+
+// blanks are PostgreSQL's white space.
+const blanks = " \t\n\r\f\v"
+
+// withoutComments returns the text without the blanks and comments at its start.
+func withoutComments(text string) string {
+	for {
+		text = strings.TrimLeft(text, blanks)
+		switch {
+		case strings.HasPrefix(text, "--"):
+			end := strings.IndexAny(text, "\r\n")
+			if end < 0 {
+				return ""
+			}
+			text = text[end:]
+		case strings.HasPrefix(text, "/*"):
+			text = afterComment(text[2:])
+		default:
+			return text
+		}
+	}
+}
+
+// afterComment returns what follows a comment, whose start precedes the text. Comments nest.
+func afterComment(text string) string {
+	for depth := 1; depth > 0; {
+		open, end := strings.Index(text, "/*"), strings.Index(text, "*/")
+		switch {
+		case end < 0:
+			return ""
+		case open >= 0 && open < end:
+			depth++
+			text = text[open+2:]
+		default:
+			depth--
+			text = text[end+2:]
+		}
+	}
+	return text
+}
