soak: Send long odd texts, in pieces and ahead

A line end can be split by a buffer's or a segment's end, and statements can be sent before the answers to earlier ones; odd callers did neither. One of 16 odd texts is now up to 12 KiB long and full of lone CR and LF, half of the odd sessions write each message in two pieces, and some reads are sent three at once. What is printed is quoted and shortened, as it may hold any bytes.

--- a/internal/backend/mimic/instance.go
+++ b/internal/backend/mimic/instance.go
@@ -198,7 +198,7 @@
 		return
 	}
 	if late := time.Since(s.in.leavingAckedAt); late > g.LeaveBound {
-		g.lateRequests = append(g.lateRequests, fmt.Sprintf("%s at %s, %s after it announced that it leaves: %s", id, s.in.Name, late, text))
+		g.lateRequests = append(g.lateRequests, fmt.Sprintf("%q at %s, %s after it announced that it leaves: %.80q", id, s.in.Name, late, text))
 	}
 }
 
--- a/internal/tools/soak/answers.go
+++ b/internal/tools/soak/answers.go
@@ -40,15 +40,15 @@
 	sent, ok := h.Sent[id]
 	switch {
 	case !ok:
-		return fmt.Sprintf("UNASKED id: %s ran %q with the id %q, which nobody sent", r.Instance, r.Text, id)
+		return fmt.Sprintf("UNASKED id: %s ran %.80q with the id %.80q, which nobody sent", r.Instance, r.Text, id)
 	case withoutName(sent.Text) != withoutName(r.Text):
-		return fmt.Sprintf("UNASKED text: %s ran %q for %q, its caller sent %q to %s", r.Instance, r.Text, id, sent.Text, sent.Host)
+		return fmt.Sprintf("UNASKED text: %s ran %.80q for %.80q, its caller sent %.80q to %s", r.Instance, r.Text, id, sent.Text, sent.Host)
 	case r.Refused:
 		return ""
 	case sent.Shape != r.Shape:
-		return fmt.Sprintf("PINNED shape: %s ran %q for %q with the shape %q, its caller prepared %q", r.Instance, r.Text, id, r.Shape, sent.Shape)
+		return fmt.Sprintf("PINNED shape: %s ran %.80q for %.80q with the shape %.80q, its caller prepared %.80q", r.Instance, r.Text, id, r.Shape, sent.Shape)
 	case !maps.Equal(sent.Values, r.Values):
-		return fmt.Sprintf("PINNED values: %s ran %q for %q with the values %q, its caller has %q", r.Instance, r.Text, id, r.Values, sent.Values)
+		return fmt.Sprintf("PINNED values: %s ran %.80q for %.80q with the values %.80q, its caller has %.80q", r.Instance, r.Text, id, r.Values, sent.Values)
 	}
 	return ""
 }
@@ -84,13 +84,13 @@
 	i := slices.IndexFunc(runs, func(r mimic.Run) bool { return r.Proof != "" && r.Proof == s.Proof })
 	switch {
 	case i < 0 && owners[s.Proof] != "":
-		return fmt.Sprintf("MIXED answer: %s gave %q to %q the proof %s and rows %q, which belong to %q", s.Host, s.Text, s.ID, s.Proof, s.Rows, owners[s.Proof])
+		return fmt.Sprintf("MIXED answer: %s gave %.80q to %.80q the proof %s and rows %.80q, which belong to %.80q", s.Host, s.Text, s.ID, s.Proof, s.Rows, owners[s.Proof])
 	case i < 0:
-		return fmt.Sprintf("MIXED proof: %s gave %q to %q the proof %q and rows %q, which no instance gave", s.Host, s.Text, s.ID, s.Proof, s.Rows)
+		return fmt.Sprintf("MIXED proof: %s gave %.80q to %.80q the proof %.80q and rows %.80q, which no instance gave", s.Host, s.Text, s.ID, s.Proof, s.Rows)
 	case !slices.Equal(s.Rows, runs[i].Rows):
-		return fmt.Sprintf("MIXED rows: %s gave %q the rows %q, %s answered %q", s.Host, s.ID, s.Rows, runs[i].Instance, runs[i].Rows)
+		return fmt.Sprintf("MIXED rows: %s gave %.80q the rows %.80q, %s answered %.80q", s.Host, s.ID, s.Rows, runs[i].Instance, runs[i].Rows)
 	case s.Want != nil && !slices.Equal(s.Rows, []string{*s.Want}):
-		return fmt.Sprintf("STALE: %q to %q returned %q, want %q", s.Text, s.ID, s.Rows, *s.Want)
+		return fmt.Sprintf("STALE: %.80q to %.80q returned %.80q, want %.80q", s.Text, s.ID, s.Rows, *s.Want)
 	}
 	return ""
 }
@@ -140,13 +140,13 @@
 		switch {
 		case !s.isWrite():
 		case n > 1:
-			violations = append(violations, fmt.Sprintf("TWICE: %q with the id %q took effect %d times", s.Text, id, n))
+			violations = append(violations, fmt.Sprintf("TWICE: %.80q with the id %.80q took effect %d times", s.Text, id, n))
 		case n == 1 && a.promised:
-			violations = append(violations, fmt.Sprintf("REFUSED: %q with the id %q took effect, its caller was told that nothing is kept", s.Text, id))
+			violations = append(violations, fmt.Sprintf("REFUSED: %.80q with the id %.80q took effect, its caller was told that nothing is kept", s.Text, id))
 		case n == 1 && !a.askedFor:
-			violations = append(violations, fmt.Sprintf("UNASKED commit: %q with the id %q was committed, its caller did not ask for that", s.Text, id))
+			violations = append(violations, fmt.Sprintf("UNASKED commit: %.80q with the id %.80q was committed, its caller did not ask for that", s.Text, id))
 		case n == 0 && a.acknowledged:
-			violations = append(violations, fmt.Sprintf("LOST: %q with the id %q was acknowledged and did not take effect", s.Text, id))
+			violations = append(violations, fmt.Sprintf("LOST: %.80q with the id %.80q was acknowledged and did not take effect", s.Text, id))
 		}
 	}
 	return violations
--- a/internal/tools/soak/caller.go
+++ b/internal/tools/soak/caller.go
@@ -26,6 +26,8 @@
 	statementInterval = 6 * time.Millisecond
 	// statementsPerSession is the number of statements after which a caller reconnects to a random host.
 	statementsPerSession = 40
+	// splitPause is the time between two pieces of a message.
+	splitPause = time.Millisecond
 )
 
 // errSessionRefused reports that a host did not answer STARTUP with READY.
@@ -44,6 +46,8 @@
 	pending []Statement
 	// wl records the statements that were sent, and those sent completely once they have ended.
 	wl *workload
+	// split, if set, returns how many of so many bytes are sent first, the others after splitPause.
+	split func(n int) int
 	// want, if set, is the row that the next statement's success has to hold.
 	want *string
 	// prepared are the shapes that were acknowledged, by name.
@@ -114,7 +118,7 @@
 	s.wl.recordSent(sent)
 	s.want = nil
 	_ = s.conn.SetDeadline(time.Now().Add(callerTimeout))
-	if _, err := s.conn.Write([]byte(b.String())); err != nil {
+	if err := s.write(b.String()); err != nil {
 		return false
 	}
 	now := time.Now()
@@ -125,6 +129,20 @@
 	return true
 }
 
+// write sends bytes, in two pieces if split is set.
+func (s *session) write(b string) error {
+	if s.split != nil {
+		n := s.split(len(b))
+		if _, err := s.conn.Write([]byte(b[:n])); err != nil {
+			return err
+		}
+		time.Sleep(splitPause)
+		b = b[n:]
+	}
+	_, err := s.conn.Write([]byte(b))
+	return err
+}
+
 // statement returns a statement that is about to be sent.
 func (s *session) statement(id, text string) Statement {
 	st := s.template
--- a/internal/tools/soak/cut.go
+++ b/internal/tools/soak/cut.go
@@ -173,7 +173,7 @@
 	if s.InTransaction {
 		text += " in a transaction"
 	}
-	what := fmt.Sprintf("%s %s of a caller of kind %s at %s cut %.2fs after %s, sent %.2fs before, the first for %.2fs, connection opened %+.2fs from the signal",
+	what := fmt.Sprintf("%s %q of a caller of kind %s at %s cut %.2fs after %s, sent %.2fs before, the first for %.2fs, connection opened %+.2fs from the signal",
 		text, s.ID, s.Caller, s.Host, s.EndedAt.Sub(sig.At).Seconds(), sig.Signal, s.EndedAt.Sub(s.SentAt).Seconds(),
 		s.EndedAt.Sub(s.turn()).Seconds(), s.OpenedAt.Sub(sig.At).Seconds())
 	if len(s.Runs) == 0 {
--- a/internal/tools/soak/odd.go
+++ b/internal/tools/soak/odd.go
@@ -20,6 +20,11 @@
 	initialItems = 24
 	// maxPieces is the number of pieces that an odd text has at most.
 	maxPieces = 5
+	// One of longTexts texts is long, and begins with up to longTextPieces pieces.
+	longTexts      = 16
+	longTextPieces = 4 << 10
+	// oddAhead is the number of statements that odd callers send together.
+	oddAhead = 3
 )
 
 // oddPieces are joined to odd texts, oddWords to odd words.
@@ -49,9 +54,12 @@
 	return text
 }
 
-// oddText draws a text that may be the last field of a line.
+// oddText draws a text that may be the last field of a line. A few are longer than usual buffers.
 func oddText(rng *rand.Rand) string {
 	head := []string{"v", "", " ", "\r", "\n"}[rng.IntN(5)]
+	if rng.IntN(longTexts) == 0 {
+		head = strings.Repeat("x\n\r", rng.IntN(longTextPieces))
+	}
 	if text := join(rng, head, oddPieces); text != "" {
 		return text
 	}
@@ -116,6 +124,9 @@
 			continue
 		}
 		c.session, c.current = s, database != "parts"
+		if c.rng.IntN(2) == 0 {
+			s.split = c.rng.IntN
+		}
 		for n := 0; n < statementsPerSession && c.ctx.Err() == nil && c.step(); n++ {
 			clock.Sleep(c.ctx, wl.interval(c.rng))
 		}
@@ -150,7 +161,7 @@
 
 // step runs one operation. It reports whether the session can still be used.
 func (c *oddCaller) step() bool {
-	switch c.rng.IntN(5) {
+	switch c.rng.IntN(6) {
 	case 0:
 		return c.write()
 	case 1:
@@ -159,6 +170,8 @@
 		return c.setValue()
 	case 3:
 		return c.transaction()
+	case 4:
+		return c.readAhead()
 	}
 	return c.readInitial()
 }
@@ -182,6 +195,21 @@
 	return c.do("READ "+item, &data)
 }
 
+// readAhead reads an item several times at once.
+func (c *oddCaller) readAhead() bool {
+	item, ids := c.initial[c.rng.IntN(len(c.initial))], []string{}
+	for range oddAhead {
+		ids = append(ids, c.word())
+	}
+	data := c.wl.initial[item]
+	c.want = &data
+	ok := c.send(ids, "READ "+item)
+	for ok && len(c.pending) > 0 {
+		_, _, ok = c.receive()
+	}
+	return ok
+}
+
 // prepareAndRun prepares two statements, one that reads and one that writes, and runs both.
 func (c *oddCaller) prepareAndRun() bool {
 	writes, reads, item, data := c.word(), c.word(), c.word(), oddText(c.rng)
