platform, front, crowd: Test the longest messages and line breaks from many callers

The test clients of the crowd end lines at CR LF only, which is stricter than LF. No check is dropped.

--- a/internal/tools/crowd/callers_test.go
+++ b/internal/tools/crowd/callers_test.go
@@ -120,6 +120,24 @@
 	}
 }
 
+// TestMessagesOfLineBreaks plays many callers whose long messages hold nothing but line feeds, in small pieces.
+func TestMessagesOfLineBreaks(t *testing.T) {
+	scene(t, "that sends line feeds in messages of the longest size, in pieces of 64 bytes", func(d *deployment) {
+		crowd(members, func(ctx context.Context, i int) {
+			c, err := openSession(ctx, d.callers, database)
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			b := bytes.ReplaceAll(statement(fmt.Sprint("l", i), legal), []byte("k"), []byte("\n"))
+			if sendPieces(ctx, c, b, 64) == nil {
+				_, _ = c.readAnswer()
+			}
+		})
+		d.check()
+	})
+}
+
 // TestMessagesNeverFinished plays many callers that stop before the end of a long message.
 func TestMessagesNeverFinished(t *testing.T) {
 	scene(t, "whose members stop just before the end of the longest message", func(d *deployment) {
--- a/internal/tools/crowd/process_test.go
+++ b/internal/tools/crowd/process_test.go
@@ -289,8 +289,8 @@
 	c := &caller{conn, bufio.NewReader(conn)}
 	if _, err = fmt.Fprintf(c, "STARTUP %s crowd\r\n", database); err == nil {
 		var line string
-		if line, err = c.r.ReadString('\n'); err == nil && !strings.HasPrefix(line, "READY") {
-			err = errors.New(strings.TrimSpace(line))
+		if line, err = c.readLine(); err == nil && !strings.HasPrefix(line, "READY") {
+			err = errors.New(line)
 		}
 	}
 	if err != nil {
@@ -301,18 +301,33 @@
 	return c, nil
 }
 
+// readLine reads a line, which ends at CR LF only.
+func (c *caller) readLine() (string, error) {
+	line := ""
+	for {
+		part, err := c.r.ReadString('\n')
+		if err != nil {
+			return "", err
+		}
+		line += part
+		if whole, ok := strings.CutSuffix(line, "\r\n"); ok {
+			return whole, nil
+		}
+	}
+}
+
 // readAnswer reads an answer up to its READY line. It returns its DONE or ERR line.
 func (c *caller) readAnswer() (string, error) {
 	result := ""
 	for {
-		line, err := c.r.ReadString('\n')
+		line, err := c.readLine()
 		if err != nil {
 			return result, err
 		}
 		word, _, _ := strings.Cut(line, " ")
 		switch word {
 		case "DONE", "ERR":
-			result = strings.TrimSpace(line)
+			result = line
 		case "READY":
 			return result, nil
 		}
--- a/internal/traffic/front/lines_test.go
+++ b/internal/traffic/front/lines_test.go
@@ -239,3 +239,42 @@
 		})
 	}
 }
+
+// TestLongestMessagesThroughTheListener guards against limits that depend on how a message arrives.
+func TestLongestMessagesThroughTheListener(t *testing.T) {
+	Convey("Given a host with limits", t, func() {
+		h := startHost(t, func(s *front.Server) { s.Limits.UnreadBytes = front.DefaultUnreadBytes })
+		defer h.stop()
+		const head = "QUERY 1 SET a "
+		message := func(size int, last string) []byte {
+			return []byte(head + strings.Repeat("v", size-len(head)-len(last)) + last + lineEnd)
+		}
+		for _, last := range []string{"v", "\r", "\n", "\n\r"} {
+			Convey(fmt.Sprintf("One of the limit that ends in %q is answered, its last bytes one by one", last), func() {
+				p := openPeer(h.Addr)
+				defer p.Close()
+				b := message(1<<20, last)
+				cut := len(b) - 4
+				_, err := p.Write(b[:cut])
+				So(err, ShouldBeNil)
+				for _, c := range b[cut:] {
+					time.Sleep(2 * time.Millisecond)
+					_, err := p.Write([]byte{c})
+					So(err, ShouldBeNil)
+				}
+				list, err := p.answer()
+				So(err, ShouldBeNil)
+				So(list, ShouldResemble, []string{"DONE -", "READY I -"})
+			})
+			Convey(fmt.Sprintf("One of a byte more that ends in %q is refused", last), func() {
+				p := openPeer(h.Addr)
+				defer p.Close()
+				_, err := p.Write(message(1<<20+1, last))
+				So(err, ShouldBeNil)
+				line, err := p.line()
+				So(err, ShouldBeNil)
+				So(line, ShouldStartWith, "ERR TOOBIG")
+			})
+		}
+	})
+}
