front: Test the cost of a message that waits for its reader

A message that waits until its caller has read the answers before it is parsed again whenever more arrives. The peer of these tests looks at each byte once now; it was quadratic.

--- a/internal/traffic/front/lines_test.go
+++ b/internal/traffic/front/lines_test.go
@@ -26,12 +26,14 @@
 
 // line reads one line.
 func (p *peer) line() (string, error) {
-	for {
-		if line, rest, ok := bytes.Cut(p.held, []byte(lineEnd)); ok {
-			p.held = rest
-			return string(line), nil
+	b := make([]byte, 64<<10)
+	for searched := 0; ; {
+		if i := bytes.Index(p.held[searched:], []byte(lineEnd)); i >= 0 {
+			line := string(p.held[:searched+i])
+			p.held = p.held[searched+i+len(lineEnd):]
+			return line, nil
 		}
-		b := make([]byte, 4<<10)
+		searched = max(0, len(p.held)-1)
 		n, err := p.Read(b)
 		if err != nil {
 			return "", err
@@ -278,3 +280,46 @@
 		}
 	})
 }
+
+// TestMessagesThatWaitForTheReaderAreNotParsedAgain guards against the cost of a message that waits until its
+// caller has read the answers before it, while more arrives.
+func TestMessagesThatWaitForTheReaderAreNotParsedAgain(t *testing.T) {
+	Convey("Given a caller that does not read a large answer and sends a long message and more", t, func() {
+		row := strings.Repeat("r", 1_000_000)
+		in := startExactInstance(t, []string{row, row, row, row, row, row, row, row}, "7.1")
+		parsed := 0
+		h := startHost(t, func(s *front.Server) {
+			addPrimaryWithSlots(s.Sessions.Topology, in.ln.Addr().String(), 64)
+			s.Limits.UnreadBytes = 64 << 10
+			parse := s.Codec.ParseMessage
+			s.Codec.ParseMessage = func(b []byte) (front.Message, int, error) {
+				parsed += len(b)
+				return parse(b)
+			}
+		})
+		p := openPeer(h.Addr)
+		defer p.Close()
+		So(p.Conn.(*net.TCPConn).SetReadBuffer(256<<10), ShouldBeNil)
+		_, err := io.WriteString(p, "QUERY 1 READ a"+lineEnd)
+		So(err, ShouldBeNil)
+		time.Sleep(200 * time.Millisecond)
+		long := "QUERY 2 SET a " + strings.Repeat("v", 900_000) + lineEnd
+		_, err = io.WriteString(p, long)
+		So(err, ShouldBeNil)
+		for range 200 {
+			_, err := io.WriteString(p, "QUERY 3 SET a b"+lineEnd)
+			So(err, ShouldBeNil)
+			time.Sleep(time.Millisecond)
+		}
+		for i := range 202 {
+			list, err := p.answer()
+			So(err, ShouldBeNil)
+			So(list[len(list)-1], ShouldEqual, "READY I -")
+			So(len(list), ShouldEqual, map[bool]int{true: 10, false: 2}[i == 0])
+		}
+		h.stop()
+		Convey("The message is parsed a few times at most", func() {
+			So(parsed, ShouldBeLessThan, 5*len(long))
+		})
+	})
+}
