pool, adapt: Record answers, tell those that nobody waits for

Each connection now has a record of the answers that it has given. Counters: connections.surplus (data on an idle connection), answers.repeated (a proof seen before on the connection), answers.unfit (no instance gives it to such a request), answers.uncertain (an error that may be an earlier one). A line, at most one a second for an instance, tells the request, the one to which the answer was given first, and how long before.

No logic is changed: an answer is taken or not as before. Until a connection can be retired, the record starts anew after 1,024 answers.

--- a/internal/traffic/pool/conn.go
+++ b/internal/traffic/pool/conn.go
@@ -69,6 +69,8 @@
 	slotDeadline time.Time
 	// inTransaction is set while a transaction is open.
 	inTransaction bool
+	// answers are those that the connection has given.
+	answers Answers
 }
 
 // serves reports whether a request may run on the connection.
@@ -80,10 +82,10 @@
 	writes bool
 }
 
-// roundTrip writes requests in one batch, reads an answer to each, and returns the last answer. An
-// error code in an earlier answer is returned as an error. After any error the connection must be
+// roundTrip writes requests in one batch, reads an answer to each, and returns the last answer. last is set
+// if the last request may end a transaction. An error code in an earlier answer is returned as an error. After any error the connection must be
 // closed.
-func (c *Conn) roundTrip(timeout time.Duration, reqs ...flow.Request) (flow.Answer, flow.Stage, error) {
+func (c *Conn) roundTrip(timeout time.Duration, last bool, reqs ...flow.Request) (flow.Answer, flow.Stage, error) {
 	c.startAnswer()
 	c.buf = c.buf[:0]
 	for _, req := range reqs {
@@ -107,6 +109,7 @@
 		if err != nil {
 			return flow.Answer{}, flow.Sent, err
 		}
+		c.noteAnswer(c.answers.Judge(c.pool.Now(), Exchange{req, c.inTransaction, last && i == len(reqs)-1}, a), req, a)
 		if err := checkAnswer(req, a); err != nil {
 			return flow.Answer{}, flow.Sent, err
 		}
@@ -146,7 +149,7 @@
 	want.Each(func(name, value string) {
 		reqs = append(reqs, flow.Request{Op: flow.SetValue, Name: name, Value: value})
 	})
-	a, _, err := c.roundTrip(timeout, reqs...)
+	a, _, err := c.roundTrip(timeout, false, reqs...)
 	if err != nil {
 		return err
 	}
@@ -174,7 +177,7 @@
 }
 
 // Run implements Handle. Setting session values and preparing statements takes no admission slot.
-func (c *Conn) Run(timeout time.Duration, values flow.Values, req flow.Request, _ bool) (flow.Answer, flow.Stage, error) {
+func (c *Conn) Run(timeout time.Duration, values flow.Values, req flow.Request, last bool) (flow.Answer, flow.Stage, error) {
 	start := c.pool.Now()
 	t := newTicket(c.prio, c.inTransaction, c.slotDeadline)
 	switch {
@@ -188,12 +191,12 @@
 		return c.pool.overloaded(c.state()), flow.Answered, nil
 	}
 	defer release()
-	return c.runAdmitted(timeout-c.pool.Now().Sub(start), values, req)
+	return c.runAdmitted(timeout-c.pool.Now().Sub(start), values, req, last)
 }
 
 // runAdmitted runs a request that has been admitted. A position query runs as an empty transaction
 // that may write, which only the primary opens.
-func (c *Conn) runAdmitted(timeout time.Duration, values flow.Values, req flow.Request) (flow.Answer, flow.Stage, error) {
+func (c *Conn) runAdmitted(timeout time.Duration, values flow.Values, req flow.Request, last bool) (flow.Answer, flow.Stage, error) {
 	if c.lacksMemory(req.Op) {
 		return c.pool.overloaded(c.state()), flow.Answered, nil
 	}
@@ -203,7 +206,7 @@
 		}
 	}
 	if req.Op == flow.QueryPosition {
-		return c.roundTrip(timeout, flow.Request{Op: flow.BeginReadWriteTx}, flow.Request{Op: flow.RollbackTx})
+		return c.roundTrip(timeout, last, flow.Request{Op: flow.BeginReadWriteTx}, flow.Request{Op: flow.RollbackTx})
 	}
 	if req.Op != flow.RollbackTx {
 		if err := c.applyValues(min(timeout, setupTimeout), values); err != nil {
@@ -211,11 +214,11 @@
 		}
 	}
 	if req.Op != flow.ExecPrepared {
-		return c.roundTrip(timeout, req)
+		return c.roundTrip(timeout, last, req)
 	}
 	name, prepare := c.preparedName(req.Template, req.Writes)
 	req.Name = name
-	return c.roundTrip(timeout, append(prepare, req)...)
+	return c.roundTrip(timeout, last, append(prepare, req)...)
 }
 
 // state returns the transaction state of the connection after the last answer.
@@ -240,7 +243,21 @@
 }
 
 // healthy reports whether an idle connection is still open and has received no unexpected data.
-func (c *Conn) healthy() bool { return c.r.Buffered() == 0 && adapt.Idle(c.network()) }
+func (c *Conn) healthy() bool {
+	found := c.unasked()
+	if found == adapt.Data {
+		c.noteSurplus()
+	}
+	return found == adapt.Nothing
+}
+
+// unasked returns what has arrived on the connection while no request is outstanding.
+func (c *Conn) unasked() adapt.Unasked {
+	if c.r.Buffered() > 0 {
+		return adapt.Data
+	}
+	return adapt.Peek(c.network())
+}
 
 // Close closes the connection and removes it from the pool.
 func (c *Conn) Close() { c.pool.discard(c) }
--- a/internal/traffic/pool/pool.go
+++ b/internal/traffic/pool/pool.go
@@ -96,6 +96,9 @@
 	admission atomic.Pointer[admission]
 	// leaveDeadline is nil unless the instance is leaving.
 	leaveDeadline atomic.Pointer[time.Time]
+	// lines limits the log lines about wrong answers.
+	linesOnce sync.Once
+	lines     *logs.RateLimiter
 
 	mu sync.Mutex
 	// idle are the idle connections, the longest idle one first.
