pool: Look at the socket before each request

Callers could get the answer to another caller's statement, if an instance gave it twice and the second one had arrived when the next statement was sent. takeIdle did not look at the socket of a connection that was idle for less than 5 ms, and nobody looked when a connection went straight to a waiter, when a transaction went on, or between the session values and the statement.

Now each request looks first. Before the connection is chosen, another one is taken; later the request is not sent (stage Unsent, which is certain), and the connection is closed. That an instance answers twice is no sign that it is unreachable: data on a quiet connection is counted (connections.surplus) but neither counts as a failure of the connection nor starts probes, as it did. A connection that the instance has closed is still a failure; its request now ends as not sent, where it was written and in doubt.

--- a/internal/traffic/pool/conn.go
+++ b/internal/traffic/pool/conn.go
@@ -21,6 +21,9 @@
 	rollbackTimeout = time.Second
 )
 
+// errSurplus is returned for a request that isn't sent because an answer to no request has arrived.
+var errSurplus = errors.New("received an answer to no request")
+
 // errAnswerMismatch is returned for an answer that can't belong to the request that was sent.
 var errAnswerMismatch = errors.New("answer does not match the request")
 
@@ -71,6 +74,8 @@
 	inTransaction bool
 	// answers are those that the connection has given.
 	answers Answers
+	// doubtful is set once an answer has come that belongs to no request or to another one.
+	doubtful bool
 }
 
 // serves reports whether a request may run on the connection.
@@ -86,6 +91,9 @@
 // if the last request may end a transaction. An error code in an earlier answer is returned as an error. After any error the connection must be
 // closed.
 func (c *Conn) roundTrip(timeout time.Duration, last bool, reqs ...flow.Request) (flow.Answer, flow.Stage, error) {
+	if err := c.checkQuiet(); err != nil {
+		return flow.Answer{}, flow.Unsent, err
+	}
 	c.startAnswer()
 	c.buf = c.buf[:0]
 	for _, req := range reqs {
@@ -242,13 +250,18 @@
 	}()
 }
 
-// healthy reports whether an idle connection is still open and has received no unexpected data.
-func (c *Conn) healthy() bool {
-	found := c.unasked()
-	if found == adapt.Data {
+// checkQuiet returns an error if the connection is closed, or if something has arrived on it although no request
+// is outstanding: the next answer would then belong to an earlier request.
+func (c *Conn) checkQuiet() error {
+	switch c.unasked() {
+	case adapt.Data:
 		c.noteSurplus()
+		c.doubtful = true
+		return errSurplus
+	case adapt.End:
+		return net.ErrClosed
 	}
-	return found == adapt.Nothing
+	return nil
 }
 
 // unasked returns what has arrived on the connection while no request is outstanding.
--- a/internal/traffic/pool/dial.go
+++ b/internal/traffic/pool/dial.go
@@ -112,6 +112,10 @@
 		return
 	}
 	if i := slices.IndexFunc(p.waiting, func(w *waiter) bool { return c.serves(w.prio) }); i >= 0 {
+		if !p.usable(now, c) {
+			p.dialForWaiting(now)
+			return
+		}
 		w := p.waiting[i]
 		p.use(now, c, w.prio)
 		p.waiting = slices.Delete(p.waiting, i, i+1)
--- a/internal/traffic/pool/pool.go
+++ b/internal/traffic/pool/pool.go
@@ -50,8 +50,6 @@
 	// time. Each takes 12 ms of a slot; one for each waiting statement would leave no slots for the
 	// statements.
 	maxConcurrentDials = 1
-	// socketCheckAfter is the idle time after which the socket is checked before the next use.
-	socketCheckAfter = 5 * time.Millisecond
 	// smoothingDivisor is the divisor of the moving mean of the latency: a new sample has a weight
 	// of 1/8.
 	smoothingDivisor = 8
--- a/internal/traffic/pool/pool__idle.go
+++ b/internal/traffic/pool/pool__idle.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/agatespindle/agatespindle/internal/backend/adapt"
 	"github.com/agatespindle/agatespindle/internal/traffic/keep"
 )
 
@@ -13,19 +14,29 @@
 	for i := p.nextIdle(now, prio); i >= 0; i = p.nextIdle(now, prio) {
 		c := p.idle[i]
 		p.idle = slices.Delete(p.idle, i, i+1)
-		if now.Sub(c.idleSince) < socketCheckAfter && c.r.Buffered() == 0 {
+		if p.usable(now, c) {
 			return c
 		}
-		if c.healthy() {
-			return c
-		}
-		c.raw.Close()
-		p.open--
-		p.recordConnFailure(now)
 	}
 	return nil
 }
 
+// usable reports whether a connection is open and nothing has arrived on it while no request was outstanding. It
+// closes the connection if not. The caller holds mu.
+func (p *Pool) usable(now time.Time, c *Conn) bool {
+	switch c.unasked() {
+	case adapt.Nothing:
+		return true
+	case adapt.Data:
+		c.noteSurplus()
+	case adapt.End:
+		p.recordConnFailure(now)
+	}
+	c.raw.Close()
+	p.open--
+	return false
+}
+
 // nextIdle returns the index of the idle connection that a request gets, or -1: the most recently used one of
 // its account. A request of this host itself gets the one that the accounts need least. The caller holds mu.
 func (p *Pool) nextIdle(now time.Time, prio Priority) int {
@@ -53,7 +64,8 @@
 	}
 }
 
-// discard closes a connection in use, which counts as a failure of the connection.
+// discard closes a connection in use, which counts as a failure of the connection unless its answers were in
+// doubt.
 func (p *Pool) discard(c *Conn) {
 	p.load.Add(-1)
 	c.raw.Close()
@@ -63,7 +75,9 @@
 	p.unuse(c)
 	p.open--
 	if !p.closed {
-		p.recordConnFailure(now)
+		if !c.doubtful {
+			p.recordConnFailure(now)
+		}
 		p.dialForWaiting(now)
 	}
 }
