pool, sess, flow: Take an answer only if it cannot be an earlier one

An instance may answer twice, the second time after the next statement was sent. No look at the socket shows that; the answer was taken for the next statement's, and each later one on the connection was one statement late. Callers got other callers' rows and proofs, "not run" for writes that ran, a commit that was refused as done, and an old position as proof of the lead.

The record of a connection's answers now decides. A proof that was seen before on the connection, or an answer that the request can't get in this state, belongs to another request: the outcome is in doubt (InDoubt, which needs no new stage between hosts of two versions), reads are tried again at the same instance, and the connection is closed, which is no failure of it. An answer without a proof is genuine only if no equal one (code, text, state, position) came before. A new proof, or a transaction that opens with a new answer, settles all answers before it, since true answers keep their order. What is not settled: an error is in doubt, a position is not told, and the connection is not used again. A pending write in a transaction whose opening is not settled may have run outside of it, so it is in doubt even if the connection breaks. A position query that settles nothing runs again on a new connection.

Weighed: closing a connection after every error answer costs the instance 12 ms of a slot each. Closing after every BEGIN, or every position query, would cost as much in calm, so these count by position: only where nothing was written since is a position query given a new connection. Ruled out: an own COMMIT as the end of a position query. Its proof would settle it, but it takes a slot and is a commit that no client asked for.

The record is bounded: a connection is retired after 1,024 answers (about 90 B each); one use ends after 65,536.

Open: a BEGIN that is refused while an equal earlier answer to BEGIN arrives passes for opened until its first statement, which then runs outside of a transaction; it is told in doubt, never as not run. That the second answer is equal byte by byte is assumed only for BEGIN, ROLLBACK and the like, not for statements of callers.

--- a/internal/traffic/flow/flow_test.go
+++ b/internal/traffic/flow/flow_test.go
@@ -39,6 +39,11 @@
 		So(flow.VerdictFor(flow.Answered, flow.Writes, flow.Failed), ShouldResemble, flow.Verdict{Code: flow.Failed})
 		So(flow.VerdictFor(flow.Answered, flow.Writes, flow.ReadOnly), ShouldResemble, flow.Verdict{Retry: true, Code: flow.ReadOnly})
 	})
+	Convey("A statement whose answer may belong to another one is in doubt, also in a transaction that may not be open; reads are retried", t, func() {
+		So(flow.VerdictFor(flow.Answered, flow.Writes, flow.InDoubt), ShouldResemble, flow.Verdict{Code: flow.InDoubt})
+		So(flow.VerdictFor(flow.Answered, flow.Pending, flow.InDoubt), ShouldResemble, flow.Verdict{Code: flow.InDoubt})
+		So(flow.VerdictFor(flow.Answered, flow.Reads, flow.InDoubt), ShouldResemble, flow.Verdict{Retry: true, Code: flow.Aborted})
+	})
 }
 
 func TestValues(t *testing.T) {
--- a/internal/traffic/flow/verdict.go
+++ b/internal/traffic/flow/verdict.go
@@ -39,7 +39,7 @@
 }
 
 // VerdictFor returns the verdict on a try that ended at a stage. Code is the backend server's code
-// and matters only if stage is Answered. The verdict guarantees no effect, or allows a retry of a
+// and matters only if stage is Answered; InDoubt means that the answer may belong to another statement. The verdict guarantees no effect, or allows a retry of a
 // write, only where that is certain: nothing was sent, the backend server refused, or the statement
 // has no effect without a commit.
 func VerdictFor(stage Stage, effect Effect, code Code) Verdict {
@@ -48,6 +48,8 @@
 		return Verdict{Retry: true, Code: Busy}
 	case stage == Answered && code.NotRun():
 		return Verdict{Retry: true, Code: noEffectCode(code)}
+	case stage == Answered && code == InDoubt && effect == Reads:
+		return Verdict{Retry: true, Code: Aborted}
 	case stage == Answered:
 		return Verdict{Retry: effect == Reads && code == Failed, Code: code}
 	case effect == Reads:
--- a/internal/traffic/pool/answers.go
+++ b/internal/traffic/pool/answers.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	// maxAnswers is the number of answers of which a connection has a record.
+	// maxAnswers is the number of answers after which a connection is not used again.
 	maxAnswers = 1024
+	// mostAnswers is the number of answers after which a use of a connection ends.
+	mostAnswers = 64 * maxAnswers
 	// recentAnswers is the number of answers of which the request is kept, and keptID the number of bytes
 	// that are kept of its ID.
 	recentAnswers = 32
@@ -41,8 +43,6 @@
 	Request flow.Request
 	// InTransaction is set if a transaction is open before the request.
 	InTransaction bool
-	// Last is set if the request may end the transaction.
-	Last bool
 }
 
 // fits reports whether an instance can give the answer to the request: successful answers to callers'
@@ -50,11 +50,13 @@
 // state before.
 func (x Exchange) fits(a flow.Answer) bool {
 	caller := x.Request.Op == flow.Forward || x.Request.Op == flow.ExecPrepared
+	// A commit is one of the requests that write.
+	mayEnd := x.Request.Op == flow.RollbackTx || x.Request.Op == flow.Forward && x.Request.Writes
 	switch {
 	case a.Code != flow.OK && !x.InTransaction:
 		return a.State == flow.Idle
 	case a.Code != flow.OK:
-		return a.State != flow.Idle || x.Last
+		return a.State != flow.Idle || mayEnd
 	case caller == (a.Proof == ""):
 		return false
 	case opensTransaction(x.Request.Op):
@@ -62,7 +64,7 @@
 	case x.Request.Op == flow.RollbackTx || !x.InTransaction:
 		return a.State == flow.Idle
 	}
-	return a.State == flow.InTransaction || x.Last && a.State == flow.Idle
+	return a.State == flow.InTransaction || mayEnd && a.State == flow.Idle
 }
 
 // Answers is the record of the answers on one connection. Answers name no request, so that only their order
@@ -120,14 +122,20 @@
 	if r.seen == nil {
 		r.seen = map[uint64]struct{}{}
 	}
-	if len(r.seen) >= maxAnswers {
-		clear(r.seen)
-	}
 	r.seen[d] = struct{}{}
 	r.recent[r.next%recentAnswers] = givenAnswer{d, strings.Clone(id[:min(len(id), keptID)]), now}
 	r.next++
 }
 
+// Unsettled reports whether the latest answers may have been earlier ones, so that the true ones may still arrive.
+func (r *Answers) Unsettled() bool { return r.unsettled }
+
+// full reports whether the connection is not to be used again.
+func (r *Answers) full() bool { return len(r.seen) >= maxAnswers }
+
+// exhausted reports whether no more answers can be recorded.
+func (r *Answers) exhausted() bool { return len(r.seen) >= mostAnswers }
+
 // origin returns the ID of the request to which an answer was first given and how long ago that was, or false
 // if too many came since.
 func (r *Answers) origin(now time.Time, a flow.Answer) (string, time.Duration, bool) {
--- a/internal/traffic/pool/answers__notes.go
+++ b/internal/traffic/pool/answers__notes.go
@@ -31,6 +31,12 @@
 	c.pool.logAnswer(EventWrongAnswer, fields)
 }
 
+// noteUnreadable counts and logs an answer that no instance sends.
+func (c *Conn) noteUnreadable(req flow.Request, err error) {
+	c.pool.Meter.AddCounter("answers."+Unfit.String(), 1)
+	c.pool.logAnswer(EventWrongAnswer, log.Fields{"request": req.ID, "finding": Unfit.String(), "error": err.Error()})
+}
+
 // noteSurplus counts and logs data that arrived while no request was outstanding.
 func (c *Conn) noteSurplus() {
 	c.pool.Meter.AddCounter("connections.surplus", 1)
--- a/internal/traffic/pool/answers_test.go
+++ b/internal/traffic/pool/answers_test.go
@@ -62,7 +62,27 @@
 			So(alone(p, write("a")).promised(), ShouldBeTrue)
 			s.set(nil, again("WRITE", 1, 1), nil)
 			b := alone(p, write("b"))
+			time.Sleep(arrival)
 			So(b.promised() && s.isKept("b"), ShouldBeFalse)
+			s.set(nil, nil, nil)
+			getsItsOwn("c")
+		})
+		Convey("A connection that gave an error isn't used again, as the error may come again", func() {
+			s.set(refuse("READ", "LAGGING"), nil, nil)
+			So(alone(p, read("a")).verdict.Code, ShouldEqual, flow.Behind)
+			s.set(nil, nil, nil)
+			So(p.Meter.CounterValue("connections.retired.error"), ShouldEqual, 1)
+			getsItsOwn("c")
+			So(p.Meter.CounterValue("connections.opened"), ShouldEqual, 2)
+		})
+		Convey("A connection isn't used again after a rollback whose answer may be an earlier one", func() {
+			for range 2 {
+				h := take(p)
+				So(run(h, flow.Values{}, begin, flow.Reads, false).ok(), ShouldBeTrue)
+				So(run(h, flow.Values{}, flow.Request{Op: flow.RollbackTx}, flow.Reads, true).ok(), ShouldBeTrue)
+				h.Release()
+			}
+			So(p.Meter.CounterValue("connections.retired.unsettled"), ShouldEqual, 1)
 			getsItsOwn("c")
 		})
 		Convey("The answer to a commit is none to the next one", func() {
@@ -89,10 +109,12 @@
 			So(run(h, flow.Values{}, commit("ca"), flow.Writes, true).ok(), ShouldBeTrue)
 			h.Release()
 			s.set(refuse("BEGIN", "RDONLY"), again("BEGIN", 1, 1), nil)
+			s.setHold(func(string) bool { return true })
 			h = take(p)
 			opened := run(h, flow.Values{}, begin, flow.Reads, false)
 			So(opened.Position, ShouldResemble, token.Position{})
 			b := run(h, flow.Values{}, write("b"), flow.Pending, false)
+			time.Sleep(arrival)
 			h.Close()
 			So(s.isKept("b"), ShouldBeTrue)
 			So(b.ok(), ShouldBeFalse)
@@ -118,6 +140,7 @@
 			So(aloneWith(p, flow.Values{}.With("x", "1"), write("a")).ok(), ShouldBeTrue)
 			s.set(refuse("SET", "BUSY"), again("SET", 1, 1), nil)
 			b := aloneWith(p, flow.Values{}.With("x", "2"), write("b"))
+			time.Sleep(arrival)
 			So(b.promised() && s.isKept("b"), ShouldBeFalse)
 			s.set(nil, nil, nil)
 			getsItsOwn("c")
@@ -141,13 +164,15 @@
 			s.set(refuse("BEGIN", "RDONLY"), again("BEGIN", 1, 2), nil)
 			So(alone(p, locate).ok(), ShouldBeFalse)
 		})
-		Convey("An old position is no proof", func() {
-			So(alone(p, locate).ok(), ShouldBeTrue)
-			latest := s.moveOn(5)
-			s.set(nil, again("BEGIN", 1, 2), nil)
-			a := alone(p, locate)
-			So(a.ok() && a.Position.Before(latest), ShouldBeFalse)
-		})
+		for where, first := range map[string]int{"BEGIN": 1, "ROLLBACK": 2} {
+			Convey("An old position is no proof, from "+where, func() {
+				So(alone(p, locate).ok(), ShouldBeTrue)
+				latest := s.moveOn(5)
+				s.set(nil, again(where, first, 2), nil)
+				a := alone(p, locate)
+				So(a.ok() && a.Position.Before(latest), ShouldBeFalse)
+			})
+		}
 		Convey("An instance without writes proves its position again and again", func() {
 			for range 5 {
 				a := alone(p, locate)
@@ -202,6 +227,7 @@
 				}
 				return code
 			}, stutter, stutter)
+			s.setHold(func(string) bool { return r.IntN(2) == 0 })
 			plays := rand.New(rand.NewPCG(seed, 52))
 			ok := 0
 			for n := range 60 {
@@ -229,6 +255,10 @@
 				}
 			}
 			So(ok, ShouldBeGreaterThan, 5)
+			time.Sleep(arrival)
+			for _, id := range s.promises {
+				So(s.isKept(id), ShouldBeFalse)
+			}
 		})
 	}
 }
@@ -236,7 +266,9 @@
 // check checks what a caller is told of a statement, and counts a success.
 func (s *stutterer) check(a told, id string, writes bool) int {
 	if !a.ok() {
-		So(writes && a.promised() && s.isKept(id), ShouldBeFalse)
+		if writes && a.promised() {
+			s.promises = append(s.promises, id)
+		}
 		return 0
 	}
 	So(s.owner(a.Proof), ShouldEqual, id)
@@ -261,7 +293,9 @@
 	}
 	a = run(h, values, commit(id), flow.Writes, true)
 	done := s.check(a, id, false)
-	So(a.promised() && s.isKept(id+"-0"), ShouldBeFalse)
+	if a.promised() {
+		s.promises = append(s.promises, id+"-0")
+	}
 	So(done == 1 && !s.isKept(id+"-1"), ShouldBeFalse)
 	h.Release()
 	return done
@@ -276,8 +310,8 @@
 		set := pool.Exchange{Request: flow.Request{Op: flow.SetValue}}
 		opening := pool.Exchange{Request: begin}
 		autocommit := pool.Exchange{Request: write("w")}
-		within := pool.Exchange{Request: write("w"), InTransaction: true}
-		ending := pool.Exchange{Request: commit("c"), InTransaction: true, Last: true}
+		within := pool.Exchange{Request: read("r"), InTransaction: true}
+		ending := pool.Exchange{Request: commit("c"), InTransaction: true}
 		judge := func(x pool.Exchange, a flow.Answer) pool.Finding { return r.Judge(now, x, a) }
 		Convey("A proof counts once, whatever comes with it", func() {
 			So(judge(autocommit, flow.Answer{Proof: "a", Position: at(1)}), ShouldEqual, pool.Genuine)
--- a/internal/traffic/pool/bench_test.go
+++ b/internal/traffic/pool/bench_test.go
@@ -46,7 +46,9 @@
 	}()
 	p := &pool.Pool{
 		Group: "g", Instance: "i", Addr: ln.Addr().String(), Slots: 2, Codec: platform.BackendCodec(), Log: logs.Discard(), Meter: meter.New(), Now: clock.Monotonic,
-		Dial: func(ctx context.Context, addr string) (net.Conn, error) { return (&net.Dialer{}).DialContext(ctx, "tcp", addr) },
+		Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+		},
 	}
 	p.SetConnLimits(90, 60)
 	defer p.Shutdown()
@@ -62,3 +64,21 @@
 		c.Release()
 	}
 }
+
+// BenchmarkJudge measures the record of the answers, of connections with 1,024 answers each.
+func BenchmarkJudge(b *testing.B) {
+	now := time.Unix(0, 0)
+	proofs := make([]string, 1024)
+	for i := range proofs {
+		proofs[i] = "7.1f3.c.2b.90e1c4d2a7b3" + strconv.Itoa(i)
+	}
+	x := pool.Exchange{Request: flow.Request{ID: "5c0e7a21d94b36f8", Text: "READ x"}}
+	var r *pool.Answers
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		if n%len(proofs) == 0 {
+			r = &pool.Answers{}
+		}
+		r.Judge(now, x, flow.Answer{Proof: proofs[n%len(proofs)]})
+	}
+}
--- a/internal/traffic/pool/conn.go
+++ b/internal/traffic/pool/conn.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net"
 	"time"
 
 	"github.com/agatespindle/agatespindle/internal/backend/adapt"
 	"github.com/agatespindle/agatespindle/internal/traffic/flow"
 	"github.com/agatespindle/agatespindle/internal/traffic/keep"
+	"github.com/agatespindle/agatespindle/internal/traffic/token"
 )
 
 const (
@@ -24,8 +26,11 @@
 // errSurplus is returned for a request that isn't sent because an answer to no request has arrived.
 var errSurplus = errors.New("received an answer to no request")
 
-// errAnswerMismatch is returned for an answer that can't belong to the request that was sent.
-var errAnswerMismatch = errors.New("answer does not match the request")
+// errDoubt is returned for a request that isn't sent because answers have lost their order.
+var errDoubt = errors.New("an earlier answer belongs to another request")
+
+// errFull is returned for a request that isn't sent because no more answers can be recorded.
+var errFull = errors.New("too many answers on one connection")
 
 // Handle gives exclusive use of one connection to an instance. The connection belongs to this
 // host or is borrowed from another one. Each handle must be ended by one call of Release or Close.
@@ -74,8 +79,12 @@
 	inTransaction bool
 	// answers are those that the connection has given.
 	answers Answers
-	// doubtful is set once an answer has come that belongs to no request or to another one.
-	doubtful bool
+	// retire is why the connection is closed at the end of its use, or "".
+	retire string
+	// dead is set if no more requests may be sent, and lost if the connection has failed.
+	dead, lost bool
+	// openedAt is the position at which the latest transaction was opened, zero if that is not certain.
+	openedAt token.Position
 }
 
 // serves reports whether a request may run on the connection.
@@ -87,10 +96,11 @@
 	writes bool
 }
 
-// roundTrip writes requests in one batch, reads an answer to each, and returns the last answer. last is set
-// if the last request may end a transaction. An error code in an earlier answer is returned as an error. After any error the connection must be
-// closed.
-func (c *Conn) roundTrip(timeout time.Duration, last bool, reqs ...flow.Request) (flow.Answer, flow.Stage, error) {
+// roundTrip writes requests in one batch, reads an answer to each, and returns the last answer. An
+// error code in an earlier answer is returned as an error. After any error the connection must be
+// closed. An answer that may belong to another request is replaced by one with
+// code flow.InDoubt.
+func (c *Conn) roundTrip(timeout time.Duration, reqs ...flow.Request) (flow.Answer, flow.Stage, error) {
 	if err := c.checkQuiet(); err != nil {
 		return flow.Answer{}, flow.Unsent, err
 	}
@@ -106,6 +116,7 @@
 		return flow.Answer{}, flow.Unsent, err
 	}
 	if n, err := c.raw.Write(c.buf); err != nil {
+		c.lost = true
 		stage := flow.Sent
 		if n == 0 {
 			stage = flow.Unsent
@@ -115,13 +126,23 @@
 	for i, req := range reqs {
 		a, err := c.pool.Codec.ReadAnswer(c.r)
 		if err != nil {
-			return flow.Answer{}, flow.Sent, err
+			return c.unanswered(req, err)
+		}
+		found := c.answers.Judge(c.pool.Now(), Exchange{req, c.inTransaction}, a)
+		c.noteAnswer(found, req, a)
+		if found == Unfit || found == Repeated || found == Uncertain && a.Code != flow.OK {
+			return c.doubt(), flow.Answered, nil
 		}
-		c.noteAnswer(c.answers.Judge(c.pool.Now(), Exchange{req, c.inTransaction, last && i == len(reqs)-1}, a), req, a)
-		if err := checkAnswer(req, a); err != nil {
-			return flow.Answer{}, flow.Sent, err
+		if found == Uncertain {
+			a.Position = token.Position{}
+		}
+		if opensTransaction(req.Op) {
+			c.openedAt = a.Position
 		}
 		c.inTransaction = a.State != flow.Idle
+		if a.Code != flow.OK {
+			c.retire = "error"
+		}
 		if i == len(reqs)-1 {
 			c.pool.recordAnswer(time.Since(start))
 			return a, flow.Answered, nil
@@ -133,14 +154,25 @@
 	return flow.Answer{}, flow.Unsent, nil
 }
 
-// checkAnswer checks that an answer can belong to the request: successful answers to callers'
-// statements always carry a proof, those to internal operations never do.
-func checkAnswer(req flow.Request, a flow.Answer) error {
-	internalOp := req.Op != flow.Forward && req.Op != flow.ExecPrepared
-	if a.Code == flow.OK && internalOp == (a.Proof != "") {
-		return errAnswerMismatch
+// unanswered ends a request whose answer can't be read. What no instance sends puts it in doubt, as does the loss
+// of the connection in a transaction that may not be open.
+func (c *Conn) unanswered(req flow.Request, err error) (flow.Answer, flow.Stage, error) {
+	var broken net.Error
+	c.lost = errors.As(err, &broken) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.ErrClosedPipe)
+	if !c.lost {
+		c.noteUnreadable(req, err)
 	}
-	return nil
+	if !c.lost || c.inTransaction && c.answers.Unsettled() {
+		return c.doubt(), flow.Answered, nil
+	}
+	return flow.Answer{}, flow.Sent, err
+}
+
+// doubt returns the answer to a request that may have run, where nothing more is known since answers have lost their
+// order. The connection is not used any more.
+func (c *Conn) doubt() flow.Answer {
+	c.retire, c.dead, c.inTransaction = "doubt", true, false
+	return flow.Answer{Code: flow.InDoubt, Text: c.pool.Instance, State: flow.Idle}
 }
 
 // applyValues sets the session values of the connection to want. If the connection has other
@@ -157,7 +189,7 @@
 	want.Each(func(name, value string) {
 		reqs = append(reqs, flow.Request{Op: flow.SetValue, Name: name, Value: value})
 	})
-	a, _, err := c.roundTrip(timeout, false, reqs...)
+	a, _, err := c.roundTrip(timeout, reqs...)
 	if err != nil {
 		return err
 	}
@@ -185,7 +217,7 @@
 }
 
 // Run implements Handle. Setting session values and preparing statements takes no admission slot.
-func (c *Conn) Run(timeout time.Duration, values flow.Values, req flow.Request, last bool) (flow.Answer, flow.Stage, error) {
+func (c *Conn) Run(timeout time.Duration, values flow.Values, req flow.Request, _ bool) (flow.Answer, flow.Stage, error) {
 	start := c.pool.Now()
 	t := newTicket(c.prio, c.inTransaction, c.slotDeadline)
 	switch {
@@ -199,12 +231,11 @@
 		return c.pool.overloaded(c.state()), flow.Answered, nil
 	}
 	defer release()
-	return c.runAdmitted(timeout-c.pool.Now().Sub(start), values, req, last)
+	return c.runAdmitted(timeout-c.pool.Now().Sub(start), values, req)
 }
 
-// runAdmitted runs a request that has been admitted. A position query runs as an empty transaction
-// that may write, which only the primary opens.
-func (c *Conn) runAdmitted(timeout time.Duration, values flow.Values, req flow.Request, last bool) (flow.Answer, flow.Stage, error) {
+// runAdmitted runs a request that has been admitted.
+func (c *Conn) runAdmitted(timeout time.Duration, values flow.Values, req flow.Request) (flow.Answer, flow.Stage, error) {
 	if c.lacksMemory(req.Op) {
 		return c.pool.overloaded(c.state()), flow.Answered, nil
 	}
@@ -214,7 +245,7 @@
 		}
 	}
 	if req.Op == flow.QueryPosition {
-		return c.roundTrip(timeout, last, flow.Request{Op: flow.BeginReadWriteTx}, flow.Request{Op: flow.RollbackTx})
+		return c.locate(timeout)
 	}
 	if req.Op != flow.RollbackTx {
 		if err := c.applyValues(min(timeout, setupTimeout), values); err != nil {
@@ -222,11 +253,45 @@
 		}
 	}
 	if req.Op != flow.ExecPrepared {
-		return c.roundTrip(timeout, last, req)
+		return c.roundTrip(timeout, req)
 	}
 	name, prepare := c.preparedName(req.Template, req.Writes)
 	req.Name = name
-	return c.roundTrip(timeout, last, append(prepare, req)...)
+	return c.roundTrip(timeout, append(prepare, req)...)
+}
+
+// locate runs a position query: an empty transaction that may write, which only the primary opens. If the answer
+// may be an earlier one, the query is sent again on a new connection.
+func (c *Conn) locate(timeout time.Duration) (flow.Answer, flow.Stage, error) {
+	start := time.Now()
+	for renewed := false; ; renewed = true {
+		a, stage, err := c.roundTrip(timeout-time.Since(start), flow.Request{Op: flow.BeginReadWriteTx}, flow.Request{Op: flow.RollbackTx})
+		a.Position = c.openedAt
+		if err != nil || a.Code != flow.OK || a.Position != (token.Position{}) || renewed {
+			return a, stage, err
+		}
+		if err := c.renew(); err != nil {
+			return flow.Answer{}, flow.Unsent, err
+		}
+	}
+}
+
+// renew replaces the network connection by a new one of the same account.
+func (c *Conn) renew() error {
+	c.pool.Meter.AddCounter("connections.renewed", 1)
+	c.raw.Close()
+	fresh, code, err := c.pool.connect(c.account)
+	switch {
+	case err != nil:
+		c.lost = true
+		return err
+	case code != flow.OK:
+		c.retire = "refused"
+		return errors.New("connection refused: " + code.String())
+	}
+	c.raw, c.r, c.answers = fresh.raw, fresh.r, Answers{}
+	c.values, c.preparedNames, c.preparedBytes, c.stale = flow.Values{}, nil, 0, false
+	return nil
 }
 
 // state returns the transaction state of the connection after the last answer.
@@ -253,12 +318,20 @@
 // checkQuiet returns an error if the connection is closed, or if something has arrived on it although no request
 // is outstanding: the next answer would then belong to an earlier request.
 func (c *Conn) checkQuiet() error {
+	switch {
+	case c.dead:
+		return errDoubt
+	case c.answers.exhausted():
+		c.retire = "full"
+		return errFull
+	}
 	switch c.unasked() {
 	case adapt.Data:
 		c.noteSurplus()
-		c.doubtful = true
+		c.retire, c.dead = "surplus", true
 		return errSurplus
 	case adapt.End:
+		c.lost = true
 		return net.ErrClosed
 	}
 	return nil
@@ -275,8 +348,21 @@
 // Close closes the connection and removes it from the pool.
 func (c *Conn) Close() { c.pool.discard(c) }
 
-// Release returns the connection to the pool.
+// Release returns the connection to the pool, or closes it if its next answers might not be told from earlier ones.
 func (c *Conn) Release() {
+	switch {
+	case c.retire != "":
+	case c.inTransaction:
+		c.retire = "open"
+	case c.answers.Unsettled():
+		c.retire = "unsettled"
+	case c.answers.full():
+		c.retire = "full"
+	}
+	if c.retire != "" {
+		c.pool.discard(c)
+		return
+	}
 	c.forget()
 	c.startAnswer()
 	c.pool.putBack(c)
--- a/internal/traffic/pool/pool__idle.go
+++ b/internal/traffic/pool/pool__idle.go
@@ -64,10 +64,12 @@
 	}
 }
 
-// discard closes a connection in use, which counts as a failure of the connection unless its answers were in
-// doubt.
+// discard closes a connection in use, which counts as a failure of the connection unless it is retired.
 func (p *Pool) discard(c *Conn) {
 	p.load.Add(-1)
+	if c.retire != "" {
+		p.Meter.AddCounter("connections.retired."+c.retire, 1)
+	}
 	c.raw.Close()
 	now := p.Now()
 	p.mu.Lock()
@@ -75,7 +77,7 @@
 	p.unuse(c)
 	p.open--
 	if !p.closed {
-		if !c.doubtful {
+		if c.lost || c.retire == "" {
 			p.recordConnFailure(now)
 		}
 		p.dialForWaiting(now)
--- a/internal/traffic/pool/stutter_test.go
+++ b/internal/traffic/pool/stutter_test.go
@@ -24,11 +24,15 @@
 // stutterer is an instance that keeps to the wire, except that it may send an earlier answer again.
 type stutterer struct {
 	ln net.Listener
+	// promises has the IDs of the writes of which the test was told that nothing is kept.
+	promises []string
 
 	mu sync.Mutex
 	// refusal returns the code with which a statement is refused, or "". before and after return what is sent
 	// again before and after the answer to it, of the answers that its connection had by then, the greeting first.
 	refusal func(text string) string
+	// hold reports whether an answer before which another one was sent again is sent only with the next one.
+	hold func(text string) bool
 	// mute makes the instance only send answers again, and close the connection if there are none.
 	mute          bool
 	before, after func(text string, given []string) []string
@@ -46,6 +50,7 @@
 	given    []string
 	inTx     bool
 	failed   bool
+	held     string
 	pending  []string
 	prepared map[string]bool
 }
@@ -133,7 +138,13 @@
 		}
 		return
 	}
-	again = append(again, a)
+	if s.hold != nil && len(again) > 0 && s.hold(text) {
+		_, _ = c.Write([]byte(c.held + strings.Join(again, "")))
+		c.given, c.held = append(c.given, a), a
+		return
+	}
+	again = append([]string{c.held}, append(again, a)...)
+	c.held = ""
 	c.given = append(c.given, a)
 	if s.after != nil {
 		again = append(again, s.after(text, c.given)...)
@@ -220,6 +231,13 @@
 	s.mute = mute
 }
 
+// setHold sets which answers are held back.
+func (s *stutterer) setHold(hold func(string) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hold = hold
+}
+
 // sendAgain sends the last answer of each connection again.
 func (s *stutterer) sendAgain() {
 	s.mu.Lock()
--- a/internal/traffic/sess/execution.go
+++ b/internal/traffic/sess/execution.go
@@ -367,7 +367,7 @@
 		}
 		return flow.Answer{}, false
 	}
-	if answer.Code != flow.NoStatement && answer.Code != flow.Behind {
+	if answer.Code != flow.NoStatement && answer.Code != flow.Behind && answer.Code != flow.InDoubt {
 		e.exclude(m.Instance)
 	}
 	return flow.Answer{}, false
--- a/internal/traffic/sess/transaction.go
+++ b/internal/traffic/sess/transaction.go
@@ -138,7 +138,7 @@
 	case answer.Code != flow.OK:
 		conn.Release()
 		e.recordAnswer(now, m, answer)
-		if answer.Code != flow.Behind {
+		if answer.Code != flow.Behind && answer.Code != flow.InDoubt {
 			e.exclude(m.Instance)
 		}
 		if answer.Code == flow.Limited {
@@ -187,14 +187,15 @@
 }
 
 // endAfterError ends a transaction after an error answer and rolls it back. Unless the failed
-// statement is a commit of writes, the caller gets a code that guarantees no effect.
+// statement is a commit of writes, or a write that may have run outside of the transaction, the caller gets a code
+// that guarantees no effect.
 func (s *Session) endAfterError(st flow.Statement, answer flow.Answer, effect flow.Effect, commit bool) flow.Answer {
 	tx := s.tx
 	if answer.Code == flow.ReadOnly && !tx.readOnly {
 		tx.member.RecordWriteRefusal(s.mgr.Now())
 	}
 	code := flow.VerdictFor(flow.Answered, effect, answer.Code).Code
-	if effect != flow.Writes && !code.GuaranteesNoEffect() {
+	if effect != flow.Writes && !code.GuaranteesNoEffect() && (effect == flow.Reads || code != flow.InDoubt) {
 		code = flow.Aborted
 	}
 	s.logTransactionEnd(st, code, answer.Code.String())
