--- a/internal/traffic/pool/pool.go
+++ b/internal/traffic/pool/pool.go
@@ -50,8 +50,6 @@
 	// time. Each takes 12 ms of a slot; one for each waiting statement would leave no slots for the
 	// statements.
 	maxConcurrentDials = 1
-	// socketCheckAfter is the idle time after which the socket is checked before the next use.
-	socketCheckAfter = 5 * time.Millisecond
 	// smoothingDivisor is the divisor of the moving mean of the latency: a new sample has a weight
 	// of 1/8.
 	smoothingDivisor = 8
@@ -96,6 +94,9 @@
 	admission atomic.Pointer[admission]
 	// leaveDeadline is nil unless the instance is leaving.
 	leaveDeadline atomic.Pointer[time.Time]
+	// lines limits the log lines about wrong answers.
+	linesOnce sync.Once
+	lines     *logs.RateLimiter
 
 	mu sync.Mutex
 	// idle are the idle connections, the longest idle one first.
