link: Let nothing follow a part of a message

A stream went on after a deadline had cut a message in the middle, or Recv had refused one by its length or for want of memory: the next message was read as the rest of that one, or bytes of its payload as a frame. A frame is a length and that many bytes, so after such an error nobody knows where the next one starts. Send now fails after a failed write, and Recv after an error in the middle of a message.

Before: "Expected '<nil>' to NOT be nil" twice; now TestNothingFollowsPartOfMessage passes. Read in all callers of Send and Recv: only the borrower of connections went on after an error, and no longer does; this holds for all to come. A write counts as failed also if yamux reports no byte as sent: after its own time-out it may still send what it has queued. A wait for a message that ends before its first byte breaks nothing (tested).

--- a/internal/base/link/link.go
+++ b/internal/base/link/link.go
@@ -57,6 +57,9 @@
 	buf []byte
 	// maxBytes is the maximum size of a received message.
 	maxBytes uint64
+	// sendFailure and recvFailure are the errors after which the place in the stream is unknown: no more messages
+	// are sent or received.
+	sendFailure, recvFailure error
 	// budget, if set, bounds the large messages that are received, and received is the claim of one.
 	budget   *bounds.Budget
 	received *bounds.Claim
@@ -66,10 +69,14 @@
 	return &Conn{raw: raw, r: bufio.NewReader(raw), maxBytes: MaxMessageBytes}
 }
 
-// Send writes m. It is safe for concurrent use.
+// Send writes m. It is safe for concurrent use. After a failed write, which may have sent a part of m, it sends
+// nothing more.
 func (c *Conn) Send(m proto.Message) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.sendFailure != nil {
+		return c.sendFailure
+	}
 	c.buf = binary.AppendUvarint(c.buf[:0], uint64(proto.Size(m)))
 	b, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(c.buf, m)
 	if err != nil {
@@ -78,16 +85,25 @@
 	c.buf = b
 	defer c.dropBuffer()
 	if _, err := c.raw.Write(b); err != nil {
-		return fmt.Errorf("send message: %w", err)
+		c.sendFailure = fmt.Errorf("send message: %w", err)
+		return c.sendFailure
 	}
 	return nil
 }
 
-// Recv reads the next message into m. At the end of the stream it returns io.EOF.
+// Recv reads the next message into m. At the end of the stream it returns io.EOF. After an error in the middle
+// of a message, it returns that error again.
 func (c *Conn) Recv(m proto.Message) error {
+	if c.recvFailure != nil {
+		return c.recvFailure
+	}
 	defer c.giveBack()
+	if _, err := c.r.Peek(1); err != nil {
+		return err
+	}
 	b, err := readFrame(c.r, c.maxBytes, c.admit)
 	if err != nil {
+		c.recvFailure = err
 		return err
 	}
 	defer c.shrink(len(b))
