lend: Show that an opening request runs in an open transaction

The test fails ("Expected '' to contain substring 'still holds'"): a lender runs the first request of a new borrower on the connection that its stream still holds, inside the transaction of the borrower before.

--- a/internal/traffic/lend/reply_test.go
+++ b/internal/traffic/lend/reply_test.go
@@ -162,3 +162,38 @@
 		So(received, ShouldHaveLength, 1)
 	})
 }
+
+// TestNewRequestRunsInNoOpenTransaction guards against a statement that runs inside another caller's transaction
+// when a host opens a connection on a stream that holds one.
+func TestNewRequestRunsInNoOpenTransaction(t *testing.T) {
+	Convey("Given a stream with an open transaction", t, func() {
+		h := startLendingHost(t, 0)
+		c, err := h.dialer.Open(t.Context(), h.addr, lend.Service)
+		So(err, ShouldBeNil)
+		defer c.Close()
+		ask := func(req *wire.LendRequest) *wire.LendReply {
+			req.Limit = int64(time.Second)
+			So(c.SetDeadline(time.Now().Add(2*time.Second)), ShouldBeNil)
+			So(c.Send(req), ShouldBeNil)
+			reply := &wire.LendReply{}
+			So(c.Recv(reply), ShouldBeNil)
+			return reply
+		}
+		open := func(req *wire.LendRequest) *wire.LendReply {
+			req.Group, req.Instance, req.Patience = "g", "i", int64(time.Second)
+			return ask(req)
+		}
+		read := func() *wire.InstanceRequest { return &wire.InstanceRequest{Id: []byte("r"), Text: []byte("READ x")} }
+		So(open(&wire.LendRequest{Question: &wire.InstanceRequest{Op: uint32(flow.BeginReadWriteTx)}}).State, ShouldEqual, uint32(flow.InTransaction))
+		reply := open(&wire.LendRequest{Question: read(), Last: true})
+		So(reply.Error, ShouldContainSubstring, "still holds")
+		So(flow.Stage(reply.Stage), ShouldEqual, flow.Unsent)
+		So(h.Meter.CounterValue("errands.refused.held"), ShouldEqual, 1)
+		Convey("The transaction is rolled back, and the stream serves the next request", func() {
+			So(ask(&wire.LendRequest{Question: read()}).Error, ShouldNotBeEmpty)
+			reply := open(&wire.LendRequest{Question: read(), Last: true})
+			So(reply.Error, ShouldBeEmpty)
+			So(flow.State(reply.State), ShouldEqual, flow.Idle)
+		})
+	})
+}
