lend: Run no opening request in an open transaction

A lender took the first request of a new borrower for one more request of the transaction that the stream still held. The borrower and the lender agree on when a connection is given back, so no host of today sends that; a stream that they count differently would let a statement run inside another caller's transaction. The lender now rolls that transaction back and refuses the request as not sent (errands.refused.held).

Before: "Expected '' to contain substring 'still holds'"; TestNewRequestRunsInNoOpenTransaction passes now.

--- a/internal/traffic/lend/lend.go
+++ b/internal/traffic/lend/lend.go
@@ -162,6 +162,12 @@
 		reply.Error = err.Error()
 		return reply
 	}
+	if s.handle != nil && req.Instance != "" {
+		s.rollback()
+		l.Meter.AddCounter("errands.refused.held", 1)
+		reply.Error = fault.New(fault.NotRun, fault.NoBackend, "the stream still holds a connection").Error()
+		return reply
+	}
 	if s.handle == nil {
 		s.member, s.database = l.findMember(ctx, req), req.Database
 		if req.Movable && s.member != nil && s.member.Busy() {
