holder: Show answers to writes with a key that are too long or too short

TestWriteWithAKeyUpToAFlushIsRefused, Flush after Execute and before it Expected: answer{verdict:"NotRun", sqlState:"22023"} Actual: answer{tags:[]string{"INSERT 0 1"}}; answer{} TestLargeAnswerOfAWriteWithAKeyIsWhole Expected collection to have length equal to [4], but its length was [0]

--- a/internal/traffic/holder/callers_test.go
+++ b/internal/traffic/holder/callers_test.go
@@ -98,3 +98,56 @@
 		})
 	})
 }
+
+// TestWriteWithAKeyUpToAFlushIsRefused guards against an answer too many, which shifts all that follow, and against a
+// key that counts as used though its write never ran.
+func TestWriteWithAKeyUpToAFlushIsRefused(t *testing.T) {
+	Convey("Given a write with a key that is sent up to a Flush", t, func() {
+		d := startDeployment(t)
+		s := d.open()
+		So(s.exec("CREATE TABLE t (i INTEGER)").verdict, ShouldEqual, "")
+		setKey := func() { So(s.exec("SET agatespindle.key = 'k'").verdict, ShouldEqual, "") }
+		insert := []pgproto3.FrontendMessage{&pgproto3.Parse{Query: "INSERT INTO t VALUES (1)"}, &pgproto3.Bind{}, &pgproto3.Execute{}}
+		for name, split := range map[string]int{"after Execute": 3, "before Execute": 2} {
+			Convey("It is not run with the Flush "+name+", each time, and the key is free", func() {
+				for range 2 {
+					setKey()
+					flushed := append(append([]pgproto3.FrontendMessage(nil), insert[:split]...), &pgproto3.Flush{})
+					So(s.run(flushed...), ShouldResemble, answer{verdict: "NotRun", sqlState: "22023"})
+					So(s.run(append(insert[split:len(insert):len(insert)], &pgproto3.Sync{})...), ShouldResemble, answer{status: "I"})
+					So(s.exec("SELECT COUNT(*) FROM t").rows, ShouldResemble, []string{"0"})
+				}
+				for range 2 {
+					setKey()
+					So(s.run(append(insert[:len(insert):len(insert)], &pgproto3.Sync{})...).tags, ShouldResemble, []string{"INSERT 0 1"})
+				}
+				So(s.exec("SELECT COUNT(*) FROM t").rows, ShouldResemble, []string{"1"})
+			})
+		}
+		Convey("It runs inside a transaction", func() {
+			So(s.exec("SET agatespindle.key = 'first'").verdict, ShouldEqual, "")
+			So(s.exec("INSERT INTO t VALUES (0)").verdict, ShouldEqual, "")
+			setKey()
+			So(s.exec("BEGIN").status, ShouldEqual, "T")
+			So(s.run(append(insert[:len(insert):len(insert)], &pgproto3.Flush{})...).tags, ShouldResemble, []string{"INSERT 0 1"})
+			So(s.run(&pgproto3.Sync{}).status, ShouldEqual, "T")
+			So(s.exec("COMMIT").tags, ShouldResemble, []string{"COMMIT"})
+			So(s.exec("SELECT COUNT(*) FROM t").rows, ShouldResemble, []string{"2"})
+		})
+	})
+}
+
+// TestLargeAnswerOfAWriteWithAKeyIsWhole guards against rows that are missing from an answer.
+func TestLargeAnswerOfAWriteWithAKeyIsWhole(t *testing.T) {
+	Convey("Given a write with a key that returns more than the proxy buffers of an answer", t, func() {
+		d := startDeployment(t)
+		s := d.open()
+		So(s.exec("CREATE TABLE t (d TEXT)").verdict, ShouldEqual, "")
+		So(s.exec("SET agatespindle.key = 'k'").verdict, ShouldEqual, "")
+		Convey("Its caller gets all rows", func() {
+			a := s.exec("INSERT INTO t VALUES (printf('%.70000c', 'x')), (printf('%.70000c', 'y')) RETURNING substr(d, 1, 1), d")
+			So(a.rows, ShouldHaveLength, 4)
+			So(a.tags, ShouldResemble, []string{"INSERT 0 2"})
+		})
+	})
+}
