holder: Keep all rows of a write with a key until it has committed

A write with a key that returned more than 64 KiB was answered with its tag and without the rows before: they were passed on early, as those of other statements are, to a sink that dropped them. The answer to such a write is passed on only after its commit, so it is now kept whole, as the answers to the proxy's own queries are. It is bounded by memory alone.

--- a/internal/traffic/holder/work__key.go
+++ b/internal/traffic/holder/work__key.go
@@ -79,7 +79,7 @@
 	if err != nil || first != nil {
 		return nil, first, err
 	}
-	r, err := w.exchange(ctx, b, func([]byte) error { return nil })
+	r, err := w.exchange(ctx, b, nil)
 	if err != nil {
 		return nil, nil, fault.New(fault.NotRun, fault.ConnectionLost, "connection to the backend server was lost").WithCause(err)
 	}
