entry: Refuse a write with a key that a Flush parts from its Sync

A write with a key that a caller sent up to a Flush ran in the proxy's own transaction, as if it were complete. When it was repeated, the replayed answer ended with a ReadyForQuery, then came that of the caller's Sync, and each later answer reached its caller one statement late. Bound up to a Flush and executed after it, the write never ran, and its key counted as used. After a Flush of anything else the key was committed apart from its write.

Outside of a transaction such a batch is now refused with 22023, NotRun; key and write are one transaction of the proxy, which begins and ends with the batch. Inside the caller's transaction it works as before.

--- a/internal/traffic/entry/session.go
+++ b/internal/traffic/entry/session.go
@@ -76,6 +76,8 @@
 	needsBarrier bool
 	// txStatus is the transaction status as the protocol reports it, such as holder.Idle.
 	txStatus byte
+	// unsynced is set outside of a transaction while messages were sent on without a Sync.
+	unsynced bool
 	// transactionLost is set while the caller has not yet ended a transaction that the proxy
 	// rolled back.
 	transactionLost bool
--- a/internal/traffic/entry/session__run.go
+++ b/internal/traffic/entry/session__run.go
@@ -59,6 +59,7 @@
 func (s *session) recordError(e *fault.Error) {
 	s.srv.Meter.CountRefusal(e.Reason)
 	s.srv.Log.WithError(e).WithField("caller", s.user).WithField("verdict", e.Verdict.String()).Debug("request failed")
+	s.unsynced = false
 	if s.txStatus == holder.Idle {
 		return
 	}
@@ -68,7 +69,8 @@
 }
 
 // dispatch runs a batch on the group's holder and sends the response or the error to the caller.
-// A batch that may write and does not begin a transaction consumes the idempotency key.
+// A batch that may write and does not begin a transaction consumes the idempotency key. Outside of a transaction
+// such a batch must end with Sync: it is a transaction of its own, whose outcome is kept.
 func (s *session) dispatch(b *wire.Batch, beginsTransaction bool, sink holder.Sink) {
 	if !s.starts(s.srv.Now(), beginsTransaction) {
 		s.endDrained()
@@ -78,6 +80,11 @@
 		b.Key = s.idempotencyKey
 		s.idempotencyKey = ""
 	}
+	unsynced := s.unsynced || b.Expect > 0 && s.txStatus == holder.Idle
+	if b.Key != "" && unsynced {
+		s.failExtended(fault.New(fault.NotRun, fault.BadRequestKey, "a write with an idempotency key must be sent in one batch that ends with Sync"), b.Expect == 0)
+		return
+	}
 	position := s.token.Position(s.group)
 	b.Term, b.Position = position.Term, position.Position
 	b.Barrier = s.needsBarrier
@@ -91,7 +98,7 @@
 		}
 		return
 	}
-	s.txStatus = out.Status
+	s.txStatus, s.unsynced = out.Status, unsynced && b.Expect > 0
 	s.needsBarrier = false
 	_ = buffered.flush(s.advanceToken(out.Position))
 }
--- a/internal/traffic/holder/callers_test.go
+++ b/internal/traffic/holder/callers_test.go
@@ -124,6 +124,18 @@
 				So(s.exec("SELECT COUNT(*) FROM t").rows, ShouldResemble, []string{"1"})
 			})
 		}
+		Convey("It is not run with the Flush after Parse", func() {
+			So(s.exec("SET agatespindle.key = 'first'").verdict, ShouldEqual, "")
+			So(s.exec("INSERT INTO t VALUES (0)").verdict, ShouldEqual, "")
+			So(s.run(insert[0], &pgproto3.Flush{}).verdict, ShouldEqual, "")
+			setKey()
+			a := s.run(insert[1], insert[2], &pgproto3.Sync{})
+			So([]string{a.verdict, a.sqlState}, ShouldResemble, []string{"NotRun", "22023"})
+			So(s.exec("ROLLBACK").status, ShouldEqual, "I")
+			setKey()
+			So(s.exec("INSERT INTO t VALUES (2)").tags, ShouldResemble, []string{"INSERT 0 1"})
+			So(s.exec("SELECT i FROM t").rows, ShouldResemble, []string{"0", "2"})
+		})
 		Convey("It runs inside a transaction", func() {
 			So(s.exec("SET agatespindle.key = 'first'").verdict, ShouldEqual, "")
 			So(s.exec("INSERT INTO t VALUES (0)").verdict, ShouldEqual, "")
