holder: Test that a late cancel request hits no other caller

A cancel request names a connection, not a statement. One that is 0.3 s under way, after the statement has ended, must not end the next caller's: a connection for which one was sent is not lent again. The test passes on this code.

--- a/internal/traffic/holder/deployment_test.go
+++ b/internal/traffic/holder/deployment_test.go
@@ -45,6 +45,8 @@
 	meddle meddler
 	// wrap, if set, returns the proxy's end of new connections in place of the given one.
 	wrap func(net.Conn) net.Conn
+	// cancelDelay is how long cancel requests are under way to the backend server.
+	cancelDelay time.Duration
 }
 
 // startDeployment starts a deployment and waits until callers are served.
@@ -172,9 +174,15 @@
 	connect := s.Connect
 	s.Connect = func(ctx context.Context) (adapt.ServerConn, error) {
 		c, err := connect(ctx)
-		if err == nil {
-			c.Conn, err = d.relay(c.Conn)
+		if err != nil {
+			return c, err
+		}
+		cancel := c.Cancel
+		c.Cancel = func(ctx context.Context) error {
+			time.Sleep(d.cancelDelay)
+			return cancel(ctx)
 		}
+		c.Conn, err = d.relay(c.Conn)
 		return c, err
 	}
 	return s
@@ -268,6 +276,7 @@
 type session struct {
 	conn net.Conn
 	f    *pgproto3.Frontend
+	key  pgproto3.BackendKeyData
 }
 
 // open starts a session that lasts until the end of the test.
@@ -318,6 +327,8 @@
 			return a
 		}
 		switch m := m.(type) {
+		case *pgproto3.BackendKeyData:
+			s.key = pgproto3.BackendKeyData{ProcessID: m.ProcessID, SecretKey: append([]byte(nil), m.SecretKey...)}
 		case *pgproto3.DataRow:
 			for _, v := range m.Values {
 				a.rows = append(a.rows, string(v))
