--- a/internal/traffic/holder/callers_test.go
+++ b/internal/traffic/holder/callers_test.go
@@ -163,3 +163,25 @@
 		})
 	})
 }
+
+// TestMessagesAfterAnErrorAreSkippedUpToSync guards against an answer to a message that the protocol skips, which
+// shifts all that follow.
+func TestMessagesAfterAnErrorAreSkippedUpToSync(t *testing.T) {
+	Convey("Given a batch up to a Flush that fails, and a query before its Sync", t, func() {
+		d := startDeployment(t)
+		s := d.open()
+		So(s.exec("SET agatespindle.timeout = '3s'").verdict, ShouldEqual, "")
+		for name, batch := range map[string][]pgproto3.FrontendMessage{
+			"the proxy":          {&pgproto3.Bind{PreparedStatement: "none"}, &pgproto3.Flush{}},
+			"the backend server": {&pgproto3.Parse{Query: "SELECT x FROM none"}, &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Flush{}},
+		} {
+			Convey("The query is not answered, the Sync is, after an error of "+name, func() {
+				So(s.run(batch...).sqlState, ShouldNotEqual, "")
+				skipped := s.run(&pgproto3.Query{String: "SELECT 'skipped'"}, &pgproto3.Sync{})
+				So(skipped.rows, ShouldBeEmpty)
+				So(skipped.verdict, ShouldEqual, "")
+				So(s.exec("SELECT 'own'").rows, ShouldResemble, []string{"own"})
+			})
+		}
+	})
+}
