entry, holder, stand: Skip queries too between an error and its Sync

After an error in a batch the protocol skips all messages up to the Sync. A query in between was run and answered, with a ReadyForQuery that its caller does not expect, so that its later answers came one statement late; on a PostgreSQL server, which skips it, the host would have waited for the answer until the time limit. Entry now drops queries and function calls after an error of its own, holder expects no answer to them after one of the server, and the stand-in skips them.

--- a/internal/backend/stand/session.go
+++ b/internal/backend/stand/session.go
@@ -214,6 +214,9 @@
 func (s *session) handle(ctx context.Context, m pgproto3.FrontendMessage) {
 	switch m := m.(type) {
 	case *pgproto3.Query:
+		if s.skipToSync {
+			return
+		}
 		s.simpleQuery(ctx, m.String)
 		s.sendReady()
 	case *pgproto3.Sync:
--- a/internal/traffic/entry/session__traffic.go
+++ b/internal/traffic/entry/session__traffic.go
@@ -211,6 +211,9 @@
 		return 0, gnet.None
 	}
 	kind := b[0]
+	if s.skipToSync && (kind == 'Q' || kind == 'F') {
+		return size, gnet.None
+	}
 	switch kind {
 	case 'Q': // Query
 		m := &pgproto3.Query{}
--- a/internal/traffic/holder/expect.go
+++ b/internal/traffic/holder/expect.go
@@ -127,7 +127,7 @@
 
 // afterError returns the part of a batch that a server answers which skips messages up to the next Sync.
 func afterError(data []byte) []byte {
-	for len(data) > 0 && data[0] != 'S' && data[0] != 'Q' {
+	for len(data) > 0 && data[0] != 'S' {
 		data = data[messageSize(data):]
 	}
 	return data
