--- a/internal/traffic/holder/callers_test.go
+++ b/internal/traffic/holder/callers_test.go
@@ -98,3 +98,90 @@
 		})
 	})
 }
+
+// TestWriteWithAKeyUpToAFlushIsRefused guards against an answer too many, which shifts all that follow, and against a
+// key that counts as used though its write never ran.
+func TestWriteWithAKeyUpToAFlushIsRefused(t *testing.T) {
+	Convey("Given a write with a key that is sent up to a Flush", t, func() {
+		d := startDeployment(t)
+		s := d.open()
+		So(s.exec("CREATE TABLE t (i INTEGER)").verdict, ShouldEqual, "")
+		setKey := func() { So(s.exec("SET agatespindle.key = 'k'").verdict, ShouldEqual, "") }
+		insert := []pgproto3.FrontendMessage{&pgproto3.Parse{Query: "INSERT INTO t VALUES (1)"}, &pgproto3.Bind{}, &pgproto3.Execute{}}
+		for name, split := range map[string]int{"after Execute": 3, "before Execute": 2} {
+			Convey("It is not run with the Flush "+name+", each time, and the key is free", func() {
+				for range 2 {
+					setKey()
+					flushed := append(append([]pgproto3.FrontendMessage(nil), insert[:split]...), &pgproto3.Flush{})
+					So(s.run(flushed...), ShouldResemble, answer{verdict: "NotRun", sqlState: "22023"})
+					So(s.run(append(insert[split:len(insert):len(insert)], &pgproto3.Sync{})...), ShouldResemble, answer{status: "I"})
+					So(s.exec("SELECT COUNT(*) FROM t").rows, ShouldResemble, []string{"0"})
+				}
+				for range 2 {
+					setKey()
+					So(s.run(append(insert[:len(insert):len(insert)], &pgproto3.Sync{})...).tags, ShouldResemble, []string{"INSERT 0 1"})
+				}
+				So(s.exec("SELECT COUNT(*) FROM t").rows, ShouldResemble, []string{"1"})
+			})
+		}
+		Convey("It is not run with the Flush after Parse", func() {
+			So(s.exec("SET agatespindle.key = 'first'").verdict, ShouldEqual, "")
+			So(s.exec("INSERT INTO t VALUES (0)").verdict, ShouldEqual, "")
+			So(s.run(insert[0], &pgproto3.Flush{}).verdict, ShouldEqual, "")
+			setKey()
+			a := s.run(insert[1], insert[2], &pgproto3.Sync{})
+			So([]string{a.verdict, a.sqlState}, ShouldResemble, []string{"NotRun", "22023"})
+			So(s.exec("ROLLBACK").status, ShouldEqual, "I")
+			setKey()
+			So(s.exec("INSERT INTO t VALUES (2)").tags, ShouldResemble, []string{"INSERT 0 1"})
+			So(s.exec("SELECT i FROM t").rows, ShouldResemble, []string{"0", "2"})
+		})
+		Convey("It runs inside a transaction", func() {
+			So(s.exec("SET agatespindle.key = 'first'").verdict, ShouldEqual, "")
+			So(s.exec("INSERT INTO t VALUES (0)").verdict, ShouldEqual, "")
+			setKey()
+			So(s.exec("BEGIN").status, ShouldEqual, "T")
+			So(s.run(append(insert[:len(insert):len(insert)], &pgproto3.Flush{})...).tags, ShouldResemble, []string{"INSERT 0 1"})
+			So(s.run(&pgproto3.Sync{}).status, ShouldEqual, "T")
+			So(s.exec("COMMIT").tags, ShouldResemble, []string{"COMMIT"})
+			So(s.exec("SELECT COUNT(*) FROM t").rows, ShouldResemble, []string{"2"})
+		})
+	})
+}
+
+// TestLargeAnswerOfAWriteWithAKeyIsWhole guards against rows that are missing from an answer.
+func TestLargeAnswerOfAWriteWithAKeyIsWhole(t *testing.T) {
+	Convey("Given a write with a key that returns more than the proxy buffers of an answer", t, func() {
+		d := startDeployment(t)
+		s := d.open()
+		So(s.exec("CREATE TABLE t (d TEXT)").verdict, ShouldEqual, "")
+		So(s.exec("SET agatespindle.key = 'k'").verdict, ShouldEqual, "")
+		Convey("Its caller gets all rows", func() {
+			a := s.exec("INSERT INTO t VALUES (printf('%.70000c', 'x')), (printf('%.70000c', 'y')) RETURNING substr(d, 1, 1), d")
+			So(a.rows, ShouldHaveLength, 4)
+			So(a.tags, ShouldResemble, []string{"INSERT 0 2"})
+		})
+	})
+}
+
+// TestMessagesAfterAnErrorAreSkippedUpToSync guards against an answer to a message that the protocol skips, which
+// shifts all that follow.
+func TestMessagesAfterAnErrorAreSkippedUpToSync(t *testing.T) {
+	Convey("Given a batch up to a Flush that fails, and a query before its Sync", t, func() {
+		d := startDeployment(t)
+		s := d.open()
+		So(s.exec("SET agatespindle.timeout = '3s'").verdict, ShouldEqual, "")
+		for name, batch := range map[string][]pgproto3.FrontendMessage{
+			"the proxy":          {&pgproto3.Bind{PreparedStatement: "none"}, &pgproto3.Flush{}},
+			"the backend server": {&pgproto3.Parse{Query: "SELECT x FROM none"}, &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Flush{}},
+		} {
+			Convey("The query is not answered, the Sync is, after an error of "+name, func() {
+				So(s.run(batch...).sqlState, ShouldNotEqual, "")
+				skipped := s.run(&pgproto3.Query{String: "SELECT 'skipped'"}, &pgproto3.Sync{})
+				So(skipped.rows, ShouldBeEmpty)
+				So(skipped.verdict, ShouldEqual, "")
+				So(s.exec("SELECT 'own'").rows, ShouldResemble, []string{"own"})
+			})
+		}
+	})
+}
