--- a/internal/tools/soak/caller.go
+++ b/internal/tools/soak/caller.go
@@ -181,6 +181,7 @@
 			out, st.Proof, ended = Acked, rest, true
 		case word == "ERR" && !ended:
 			out, ended = outcomeOfError(rest), true
+			st.Error, _, _ = strings.Cut(rest, " ")
 		case word == "READY" && ended:
 			st.Outcome = out
 			s.endFirst(rest)
--- a/internal/tools/soak/cut.go
+++ b/internal/tools/soak/cut.go
@@ -65,8 +65,9 @@
 	Values map[string]string
 	// Want, if set, is the row that a success has to hold.
 	Want *string
-	// Outcome, Proof and Rows are what the answer told.
+	// Outcome, Error, Proof and Rows are what the answer told; Error is its code, if it was one.
 	Outcome Outcome
+	Error   string
 	Proof   string
 	Rows    []string
 }
--- a/internal/tools/soak/soak.go
+++ b/internal/tools/soak/soak.go
@@ -85,6 +85,9 @@
 	Answered int
 	// Odd is the number of successful statements of callers whose texts hold any bytes.
 	Odd int
+	// OddErrors are the numbers of their errors by code, OddMissing is the number of missing answers.
+	OddErrors  map[string]int
+	OddMissing int
 	// SecondAnswers is the number of answers that instances sent a second time.
 	SecondAnswers int
 	// Excused describes the answers cut around planned work for which an exception holds.
@@ -464,13 +467,13 @@
 // report checks the history and returns the counts and the violations.
 func (r *run) report() Report {
 	h := r.workload.history
-	rep := Report{Seed: r.Seed, Faults: r.faults, Reads: len(h.Reads)}
+	rep := Report{Seed: r.Seed, Faults: r.faults, Reads: len(h.Reads), OddErrors: map[string]int{}}
 	for i, s := range h.Statements {
 		if s.Ending == Answered {
 			rep.Answered++
 		}
-		if s.Caller == kindOdd && s.Outcome == Acked {
-			rep.Odd++
+		if s.Caller == kindOdd {
+			rep.countOdd(s)
 		}
 		h.Statements[i].Runs = r.group.Runs(s.ID)
 	}
@@ -498,6 +501,28 @@
 	return rep
 }
 
+// countOdd counts a statement of a caller whose texts hold any bytes.
+func (r *Report) countOdd(s Statement) {
+	switch {
+	case s.Ending != Answered:
+		r.OddMissing++
+	case s.Outcome == Acked:
+		r.Odd++
+	default:
+		r.OddErrors[s.Error]++
+	}
+}
+
+// OddFailed returns how many statements of callers whose texts hold any bytes got no answer or an error, except
+// BUSY.
+func (r Report) OddFailed() int {
+	n := r.OddMissing - r.OddErrors["BUSY"]
+	for _, m := range r.OddErrors {
+		n += m
+	}
+	return n
+}
+
 // shutDown stops everything that the run started.
 func (r *run) shutDown(cancel context.CancelFunc) {
 	cancel()
@@ -521,8 +546,8 @@
 // String returns the counts on one line, followed by the violations, one a line: the first of each kind, up to
 // maxListed, and how many more there are.
 func (r Report) String() string {
-	text := fmt.Sprintf("seed %d: %d faults, %d acknowledged, %d not run, %d may have run, %d reads, %d statements answered, %d odd ones acknowledged, %d second answers, %d answers cut with an excuse, %d violations",
-		r.Seed, r.Faults, r.Acked, r.NotRun, r.MayHaveRun, r.Reads, r.Answered, r.Odd, r.SecondAnswers, len(r.Excused), len(r.Violations))
+	text := fmt.Sprintf("seed %d: %d faults, %d acknowledged, %d not run, %d may have run, %d reads, %d statements answered, %d odd ones acknowledged, %d missing, errors %v, %d second answers, %d answers cut with an excuse, %d violations",
+		r.Seed, r.Faults, r.Acked, r.NotRun, r.MayHaveRun, r.Reads, r.Answered, r.Odd, r.OddMissing, r.OddErrors, r.SecondAnswers, len(r.Excused), len(r.Violations))
 	counts := map[string]int{}
 	for _, v := range r.Violations {
 		kind := v[:strings.IndexAny(v+":", ":\"0123456789")]
