--- a/internal/tools/soak/odd.go
+++ b/internal/tools/soak/odd.go
@@ -12,8 +12,12 @@
 	"github.com/agatespindle/agatespindle/internal/base/clock"
 )
 
-// kindOdd is the kind of callers whose texts hold any bytes that the protocol allows.
-const kindOdd = "odd"
+// Kinds of callers that run all operations: with texts that hold any bytes that the protocol allows, or with plain
+// ones.
+const (
+	kindOdd   = "odd"
+	kindPlain = "plain"
+)
 
 const (
 	// initialItems is the number of items that exist from the start of a run with odd callers.
@@ -83,15 +87,17 @@
 	}
 	for i, row := range answerRows {
 		items[fmt.Sprint("answer", i)] = row
+		items[fmt.Sprint(kindPlain, i)] = fmt.Sprint("v", i)
 	}
 	return items
 }
 
-// oddCaller is a caller whose texts hold any bytes that the protocol allows.
+// oddCaller is a caller of kind kindOdd or kindPlain.
 type oddCaller struct {
 	*session
-	ctx context.Context
-	rng *rand.Rand
+	ctx  context.Context
+	rng  *rand.Rand
+	kind string
 	// name is the start of the caller's ids, items and names, and n counts them.
 	name string
 	n    int
@@ -101,10 +107,18 @@
 	current bool
 }
 
-// startOdd starts odd callers.
-func (wl *workload) startOdd(ctx context.Context, seed uint64, callers int) {
-	for i := range callers {
-		c := &oddCaller{ctx: ctx, rng: rand.New(rand.NewPCG(seed, uint64(7000+i))), name: fmt.Sprintf("o%d-", i), initial: slices.Sorted(maps.Keys(wl.initial))}
+// startOdd starts callers of kind kindOdd and kindPlain.
+func (wl *workload) startOdd(ctx context.Context, seed uint64, odd, plain int) {
+	for i := range odd + plain {
+		c := &oddCaller{ctx: ctx, rng: rand.New(rand.NewPCG(seed, uint64(7000+i))), name: fmt.Sprintf("o%d-", i), kind: kindOdd}
+		if i >= odd {
+			c.kind = kindPlain
+		}
+		for _, item := range slices.Sorted(maps.Keys(wl.initial)) {
+			if c.kind == kindOdd || strings.HasPrefix(item, kindPlain) {
+				c.initial = append(c.initial, item)
+			}
+		}
 		wl.wg.Add(1)
 		go func() {
 			defer wl.wg.Done()
@@ -118,13 +132,13 @@
 	databases := []string{"orders", "notes", "parts"}
 	for c.ctx.Err() == nil {
 		database := databases[c.rng.IntN(len(databases))]
-		s, err := wl.openOdd(c.rng, database)
+		s, err := wl.openOdd(c, database)
 		if err != nil {
 			clock.Sleep(c.ctx, wl.reconnectDelay())
 			continue
 		}
 		c.session, c.current = s, database != "parts"
-		if c.rng.IntN(2) == 0 {
+		if c.kind == kindOdd && c.rng.IntN(2) == 0 {
 			s.split = c.rng.IntN
 		}
 		for n := 0; n < statementsPerSession && c.ctx.Err() == nil && c.step(); n++ {
@@ -134,22 +148,34 @@
 	}
 }
 
-// openOdd opens a session on a random host. In runs without accounts the caller's word is odd at times.
-func (wl *workload) openOdd(rng *rand.Rand, database string) (*session, error) {
-	host, who := rng.IntN(len(wl.callerAddrs)), "soak"
-	if rng.IntN(4) == 0 {
-		who = oddWord(rng, "o")
-	}
+// openOdd opens a session on a random host. In runs without accounts an odd caller's word is odd at times.
+func (wl *workload) openOdd(c *oddCaller, database string) (*session, error) {
+	host, who := c.rng.IntN(len(wl.callerAddrs)), "soak"
 	if wl.accounts {
-		return wl.openWithKey(host, database, kindOdd, accountWriters, keyOf(accountWriters))
+		return wl.openWithKey(host, database, c.kind, accountWriters, keyOf(accountWriters))
 	}
-	return wl.openWithKey(host, database, kindOdd, "", who)
+	if c.kind == kindOdd && c.rng.IntN(4) == 0 {
+		who = oddWord(c.rng, "o")
+	}
+	return wl.openWithKey(host, database, c.kind, "", who)
 }
 
 // word draws a word that no one has used.
 func (c *oddCaller) word() string {
 	c.n++
-	return oddWord(c.rng, fmt.Sprint(c.name, c.n))
+	word := fmt.Sprint(c.name, c.n)
+	if c.kind == kindPlain {
+		return word
+	}
+	return oddWord(c.rng, word)
+}
+
+// text draws a text that may be the last field of a line.
+func (c *oddCaller) text() string {
+	if c.kind == kindPlain {
+		return fmt.Sprint("v", c.rng.Uint32())
+	}
+	return oddText(c.rng)
 }
 
 // do sends a statement and reports whether it succeeded. want, if set, is the row that it has to return.
@@ -185,7 +211,7 @@
 }
 
 func (c *oddCaller) write() bool {
-	item, data := c.word(), oddText(c.rng)
+	item, data := c.word(), c.text()
 	return c.do("WRITE "+item+" "+data, nil) && c.do("READ "+item, c.wanted(data))
 }
 
@@ -212,19 +238,19 @@
 
 // prepareAndRun prepares two statements, one that reads and one that writes, and runs both.
 func (c *oddCaller) prepareAndRun() bool {
-	writes, reads, item, data := c.word(), c.word(), c.word(), oddText(c.rng)
-	return c.do("PREPARE "+writes+" WRITE "+oddText(c.rng), nil) && c.do("PREPARE "+reads+" READ "+oddText(c.rng), nil) &&
+	writes, reads, item, data := c.word(), c.word(), c.word(), c.text()
+	return c.do("PREPARE "+writes+" WRITE "+c.text(), nil) && c.do("PREPARE "+reads+" READ "+c.text(), nil) &&
 		c.do("EXEC "+writes+" "+item+" "+data, nil) && c.do("EXEC "+reads+" "+item, c.wanted(data)) && c.do("CLOSE "+writes, nil)
 }
 
 func (c *oddCaller) setValue() bool {
-	name, value := c.word(), oddText(c.rng)
+	name, value := c.word(), c.text()
 	return c.do("SET "+name+" "+value, nil) && c.do("READ value:"+name, &value)
 }
 
 // transaction writes an item and reads it back, and keeps the write or not.
 func (c *oddCaller) transaction() bool {
-	item, data, end := c.word(), oddText(c.rng), "COMMIT"
+	item, data, end := c.word(), c.text(), "COMMIT"
 	if c.rng.IntN(4) == 0 {
 		end = "ROLLBACK"
 	}
--- a/internal/tools/soak/soak.go
+++ b/internal/tools/soak/soak.go
@@ -60,9 +60,12 @@
 	FaultDuration time.Duration
 	// OddCallers is the number of callers whose texts hold any bytes that the protocol allows.
 	OddCallers int
-	// Stutter is the share of the instances' answers that is sent a second time.
+	// PlainCallers is the number of callers that run the same operations with plain texts.
+	PlainCallers int
+	// Stutter is the share of the instances' answers that is sent a second time. If it is set, instances also
+	// refuse all work for a moment now and then.
 	Stutter float64
-	// Calm has no faults injected, apart from Stutter.
+	// Calm has no other faults injected.
 	Calm bool
 	// Planned, if set, replaces the random faults by planned work.
 	Planned *Planned
@@ -111,10 +114,12 @@
 	// instances are the instances behind the relays, the latest one behind each.
 	instances [3]*mimic.Instance
 	// started are all instances that were started.
-	started        []*mimic.Instance
-	workload       workload
-	configVersion  uint64 // version of the configuration sent last
-	faults         int
+	started       []*mimic.Instance
+	workload      workload
+	configVersion uint64 // version of the configuration sent last
+	faults        int
+	// refusals draws which instances refuse work.
+	refusals       *rand.Rand
 	primaryCrashed bool
 	recoveries     []recovery
 }
@@ -131,6 +136,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	r := &run{Options: opt, rng: rand.New(rand.NewPCG(opt.Seed, 0)), releases: releases{rng: rand.New(rand.NewPCG(opt.Seed, 1))}}
 	r.plan = plan{rng: rand.New(rand.NewPCG(opt.Seed, 2)), stopping: map[*host]*os.Process{}}
+	r.refusals = rand.New(rand.NewPCG(opt.Seed, 5))
 	r.accounts = newAccounts(opt.Seed)
 	r.workload.accounts = r.accounts != nil
 	defer r.shutDown(cancel)
@@ -147,7 +153,7 @@
 	defer stop()
 	r.workload.stay = r.Planned != nil
 	r.workload.start(workloadCtx, opt.Seed, opt.Writers)
-	r.workload.startOdd(workloadCtx, opt.Seed, opt.OddCallers)
+	r.workload.startOdd(workloadCtx, opt.Seed, opt.OddCallers, opt.PlainCallers)
 	if r.accounts != nil {
 		r.declareAccounts(ctx)
 		r.workload.startHot(workloadCtx, opt.Seed)
@@ -176,7 +182,7 @@
 		Name: "ledger", Lag: 30 * time.Millisecond, PromotionDelay: 150 * time.Millisecond, MaxConns: maxConnections,
 		Slots: 2, QueueLimit: 16, StatementTime: statementTime, LeaveBound: leaveBound, RecordRuns: true,
 	}
-	if r.OddCallers > 0 {
+	if r.OddCallers+r.PlainCallers > 0 {
 		r.workload.initial = oddItems(r.Seed)
 		r.group.Initial = r.workload.initial
 	}
@@ -355,12 +361,15 @@
 
 // injectFaults injects faults and ends them until FaultDuration has passed.
 func (r *run) injectFaults(ctx context.Context) {
-	if r.Calm {
-		clock.Sleep(ctx, r.FaultDuration)
-		return
-	}
 	end := time.Now().Add(r.FaultDuration)
 	for time.Now().Before(end) && ctx.Err() == nil {
+		if r.Stutter > 0 {
+			r.refuseWork(ctx)
+		}
+		if r.Calm {
+			clock.Sleep(ctx, pollInterval)
+			continue
+		}
 		r.injectFault(ctx)
 		r.releasePrimary(ctx, time.Now())
 		r.changeAccounts(ctx)
@@ -371,6 +380,14 @@
 	r.runDueRecoveries(time.Now().Add(time.Hour))
 }
 
+// refuseWork has one instance refuse all work for a moment.
+func (r *run) refuseWork(ctx context.Context) {
+	in := r.instances[r.refusals.IntN(len(r.instances))]
+	in.SetOverloaded(true)
+	clock.Sleep(ctx, time.Duration(r.refusals.Int64N(int64(pollInterval))))
+	in.SetOverloaded(false)
+}
+
 // runDueRecoveries ends the faults whose recovery is due at now.
 func (r *run) runDueRecoveries(now time.Time) {
 	var pending []recovery
--- a/internal/tools/soak/soak_integration_test.go
+++ b/internal/tools/soak/soak_integration_test.go
@@ -80,7 +80,7 @@
 func TestSecondAnswersReachNobody(t *testing.T) {
 	binary := build(t)
 	for i := range *seeds {
-		rep := runSeed(t, binary, *seed+i, soak.Options{ControlHosts: *control, EntryHosts: *entry, Writers: *writers, FaultDuration: *length, Calm: true, Stutter: 0.1})
+		rep := runSeed(t, binary, *seed+i, soak.Options{ControlHosts: *control, EntryHosts: *entry, Writers: *writers, FaultDuration: *length, Calm: true, Stutter: 0.1, PlainCallers: 4})
 		if rep.SecondAnswers < 100 {
 			t.Errorf("seed %d: %d second answers were sent, want 100", rep.Seed, rep.SecondAnswers)
 		}
