--- a/internal/backend/stand/session.go
+++ b/internal/backend/stand/session.go
@@ -11,6 +11,7 @@
 	"sync"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -65,6 +66,7 @@
 	codeUnknownPortal      = "34000"
 	codeUnsupported        = "0A000"
 	codeProtocolViolation  = "08P01"
+	codeNoText             = "22021"
 )
 
 // serve performs the startup of a connection and serves it as a data or an admin connection,
@@ -186,7 +188,11 @@
 	s.sendReady()
 }
 
+// sendReady ends the portals unless a transaction is open: they end with theirs.
 func (s *session) sendReady() {
+	if s.tx == nil {
+		clear(s.portals)
+	}
 	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: s.txStatus})
 	s.backend.Flush()
 }
@@ -276,6 +282,15 @@
 	}
 }
 
+// checkText returns an error unless the text is one in the server's encoding, UTF8. The log, which is JSON, could
+// not hold it as it is.
+func checkText(text string) error {
+	if !utf8.ValidString(text) || strings.IndexByte(text, 0) >= 0 {
+		return &pgError{codeNoText, "invalid byte sequence for encoding \"UTF8\""}
+	}
+	return nil
+}
+
 // unsupported returns the error for a feature that this server does not implement.
 func unsupported(feature string) *pgError {
 	return &pgError{codeUnsupported, fmt.Sprintf("%s is not supported here", feature)}
