--- a/internal/tools/soak/soak.go
+++ b/internal/tools/soak/soak.go
@@ -60,9 +60,12 @@
 	FaultDuration time.Duration
 	// OddCallers is the number of callers whose texts hold any bytes that the protocol allows.
 	OddCallers int
-	// Stutter is the share of the instances' answers that is sent a second time.
+	// PlainCallers is the number of callers that run the same operations with plain texts.
+	PlainCallers int
+	// Stutter is the share of the instances' answers that is sent a second time. If it is set, instances also
+	// refuse all work for a moment now and then.
 	Stutter float64
-	// Calm has no faults injected, apart from Stutter.
+	// Calm has no other faults injected.
 	Calm bool
 	// Planned, if set, replaces the random faults by planned work.
 	Planned *Planned
@@ -85,6 +88,9 @@
 	Answered int
 	// Odd is the number of successful statements of callers whose texts hold any bytes.
 	Odd int
+	// OddErrors are the numbers of their errors by code, OddMissing is the number of missing answers.
+	OddErrors  map[string]int
+	OddMissing int
 	// SecondAnswers is the number of answers that instances sent a second time.
 	SecondAnswers int
 	// Excused describes the answers cut around planned work for which an exception holds.
@@ -108,10 +114,12 @@
 	// instances are the instances behind the relays, the latest one behind each.
 	instances [3]*mimic.Instance
 	// started are all instances that were started.
-	started        []*mimic.Instance
-	workload       workload
-	configVersion  uint64 // version of the configuration sent last
-	faults         int
+	started       []*mimic.Instance
+	workload      workload
+	configVersion uint64 // version of the configuration sent last
+	faults        int
+	// refusals draws which instances refuse work.
+	refusals       *rand.Rand
 	primaryCrashed bool
 	recoveries     []recovery
 }
@@ -128,6 +136,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	r := &run{Options: opt, rng: rand.New(rand.NewPCG(opt.Seed, 0)), releases: releases{rng: rand.New(rand.NewPCG(opt.Seed, 1))}}
 	r.plan = plan{rng: rand.New(rand.NewPCG(opt.Seed, 2)), stopping: map[*host]*os.Process{}}
+	r.refusals = rand.New(rand.NewPCG(opt.Seed, 5))
 	r.accounts = newAccounts(opt.Seed)
 	r.workload.accounts = r.accounts != nil
 	defer r.shutDown(cancel)
@@ -144,7 +153,7 @@
 	defer stop()
 	r.workload.stay = r.Planned != nil
 	r.workload.start(workloadCtx, opt.Seed, opt.Writers)
-	r.workload.startOdd(workloadCtx, opt.Seed, opt.OddCallers)
+	r.workload.startOdd(workloadCtx, opt.Seed, opt.OddCallers, opt.PlainCallers)
 	if r.accounts != nil {
 		r.declareAccounts(ctx)
 		r.workload.startHot(workloadCtx, opt.Seed)
@@ -173,7 +182,7 @@
 		Name: "ledger", Lag: 30 * time.Millisecond, PromotionDelay: 150 * time.Millisecond, MaxConns: maxConnections,
 		Slots: 2, QueueLimit: 16, StatementTime: statementTime, LeaveBound: leaveBound, RecordRuns: true,
 	}
-	if r.OddCallers > 0 {
+	if r.OddCallers+r.PlainCallers > 0 {
 		r.workload.initial = oddItems(r.Seed)
 		r.group.Initial = r.workload.initial
 	}
@@ -352,12 +361,15 @@
 
 // injectFaults injects faults and ends them until FaultDuration has passed.
 func (r *run) injectFaults(ctx context.Context) {
-	if r.Calm {
-		clock.Sleep(ctx, r.FaultDuration)
-		return
-	}
 	end := time.Now().Add(r.FaultDuration)
 	for time.Now().Before(end) && ctx.Err() == nil {
+		if r.Stutter > 0 {
+			r.refuseWork(ctx)
+		}
+		if r.Calm {
+			clock.Sleep(ctx, pollInterval)
+			continue
+		}
 		r.injectFault(ctx)
 		r.releasePrimary(ctx, time.Now())
 		r.changeAccounts(ctx)
@@ -368,6 +380,14 @@
 	r.runDueRecoveries(time.Now().Add(time.Hour))
 }
 
+// refuseWork has one instance refuse all work for a moment.
+func (r *run) refuseWork(ctx context.Context) {
+	in := r.instances[r.refusals.IntN(len(r.instances))]
+	in.SetOverloaded(true)
+	clock.Sleep(ctx, time.Duration(r.refusals.Int64N(int64(pollInterval))))
+	in.SetOverloaded(false)
+}
+
 // runDueRecoveries ends the faults whose recovery is due at now.
 func (r *run) runDueRecoveries(now time.Time) {
 	var pending []recovery
@@ -464,13 +484,13 @@
 // report checks the history and returns the counts and the violations.
 func (r *run) report() Report {
 	h := r.workload.history
-	rep := Report{Seed: r.Seed, Faults: r.faults, Reads: len(h.Reads)}
+	rep := Report{Seed: r.Seed, Faults: r.faults, Reads: len(h.Reads), OddErrors: map[string]int{}}
 	for i, s := range h.Statements {
 		if s.Ending == Answered {
 			rep.Answered++
 		}
-		if s.Caller == kindOdd && s.Outcome == Acked {
-			rep.Odd++
+		if s.Caller == kindOdd {
+			rep.countOdd(s)
 		}
 		h.Statements[i].Runs = r.group.Runs(s.ID)
 	}
@@ -498,6 +518,28 @@
 	return rep
 }
 
+// countOdd counts a statement of a caller whose texts hold any bytes.
+func (r *Report) countOdd(s Statement) {
+	switch {
+	case s.Ending != Answered:
+		r.OddMissing++
+	case s.Outcome == Acked:
+		r.Odd++
+	default:
+		r.OddErrors[s.Error]++
+	}
+}
+
+// OddFailed returns how many statements of callers whose texts hold any bytes got no answer or an error, except
+// BUSY.
+func (r Report) OddFailed() int {
+	n := r.OddMissing - r.OddErrors["BUSY"]
+	for _, m := range r.OddErrors {
+		n += m
+	}
+	return n
+}
+
 // shutDown stops everything that the run started.
 func (r *run) shutDown(cancel context.CancelFunc) {
 	cancel()
@@ -521,8 +563,8 @@
 // String returns the counts on one line, followed by the violations, one a line: the first of each kind, up to
 // maxListed, and how many more there are.
 func (r Report) String() string {
-	text := fmt.Sprintf("seed %d: %d faults, %d acknowledged, %d not run, %d may have run, %d reads, %d statements answered, %d odd ones acknowledged, %d second answers, %d answers cut with an excuse, %d violations",
-		r.Seed, r.Faults, r.Acked, r.NotRun, r.MayHaveRun, r.Reads, r.Answered, r.Odd, r.SecondAnswers, len(r.Excused), len(r.Violations))
+	text := fmt.Sprintf("seed %d: %d faults, %d acknowledged, %d not run, %d may have run, %d reads, %d statements answered, %d odd ones acknowledged, %d missing, errors %v, %d second answers, %d answers cut with an excuse, %d violations",
+		r.Seed, r.Faults, r.Acked, r.NotRun, r.MayHaveRun, r.Reads, r.Answered, r.Odd, r.OddMissing, r.OddErrors, r.SecondAnswers, len(r.Excused), len(r.Violations))
 	counts := map[string]int{}
 	for _, v := range r.Violations {
 		kind := v[:strings.IndexAny(v+":", ":\"0123456789")]
