front, lend: Let the instances of tests give each statement a proof of its own

Four stand-ins of tests answered all statements with one proof, which no instance does (PROTOCOL.md: the MAC is the one for that statement), so that the second statement on a connection now counts as answered by the first one's answer: TestUnreadLimitCutsNoAnswer, TestAnswersOnTheirWayAreSent and TestLineBreaksPassFromCallerToInstanceAndBack failed. One of them stayed in a transaction after ROLLBACK, as no instance does either. The rows of TestBlockedCallerCannotFillMemory made messages of 4 bytes over the limit of 1 MiB, which are refused now; they are 4 bytes shorter. No check is changed.

--- a/internal/traffic/front/cut_test.go
+++ b/internal/traffic/front/cut_test.go
@@ -81,7 +81,7 @@
 	for _, row := range in.rows {
 		fmt.Fprintf(w, "ROW %s\r\n", row)
 	}
-	fmt.Fprint(w, "DONE mac\r\n")
+	fmt.Fprintf(w, "DONE mac.%s\r\n", id)
 	if verb == "COMMIT" {
 		return "I"
 	}
--- a/internal/traffic/front/drain_test.go
+++ b/internal/traffic/front/drain_test.go
@@ -27,7 +27,7 @@
 		go func() {
 			defer c.Close()
 			r := bufio.NewReader(c)
-			for {
+			for n := 0; ; n++ {
 				line, err := r.ReadString('\n')
 				if err != nil {
 					return
@@ -37,7 +37,7 @@
 					for _, row := range rows {
 						fmt.Fprintf(c, "ROW %s\r\n", row)
 					}
-					fmt.Fprint(c, "DONE mac\r\n")
+					fmt.Fprintf(c, "DONE mac.%d\r\n", n)
 				}
 				fmt.Fprint(c, "READY I 1.1\r\n")
 			}
--- a/internal/traffic/front/lines_test.go
+++ b/internal/traffic/front/lines_test.go
@@ -59,7 +59,7 @@
 // exactInstance is an instance that leads and keeps to the protocol. It records the lines that it reads.
 type exactInstance struct {
 	ln net.Listener
-	// rows and proof answer each statement that it runs.
+	// rows, and proof with the statement's ID, answer each statement that it runs.
 	rows  []string
 	proof string
 
@@ -100,7 +100,7 @@
 		in.mu.Unlock()
 		var answer []string
 		word, rest, _ := strings.Cut(line, " ")
-		_, text, _ := strings.Cut(rest, " ")
+		id, text, _ := strings.Cut(rest, " ")
 		verb, _, _ := strings.Cut(text, " ")
 		switch {
 		case word == "STARTUP":
@@ -108,13 +108,15 @@
 			answer = []string{"ERR MALFORMED message"}
 		case verb == "BEGIN":
 			answer, state = []string{"DONE -"}, "T"
-		case verb == "SET" || verb == "RESET" || verb == "PREPARE" || verb == "ROLLBACK":
+		case verb == "ROLLBACK":
+			answer, state = []string{"DONE -"}, "I"
+		case verb == "SET" || verb == "RESET" || verb == "PREPARE":
 			answer = []string{"DONE -"}
 		case verb == "READ" || verb == "WRITE" || verb == "EXEC" || verb == "COMMIT":
 			for _, row := range in.rows {
 				answer = append(answer, "ROW "+row)
 			}
-			answer = append(answer, "DONE "+in.proof)
+			answer = append(answer, "DONE "+in.proof+id)
 			if verb == "COMMIT" {
 				state = "I"
 			}
@@ -175,12 +177,12 @@
 		in := startExactInstance(t, rows, "7.\n1f\r3")
 		h := startHost(t, func(s *front.Server) { addPrimaryWithSlots(s.Sessions.Topology, in.ln.Addr().String(), 64) })
 		defer h.stop()
-		want := func(state string) []string {
+		want := func(state, id string) []string {
 			var list []string
 			for _, row := range rows {
 				list = append(list, "ROW "+row)
 			}
-			return append(list, "DONE 7.\n1f\r3", "READY "+state+" -")
+			return append(list, "DONE 7.\n1f\r3"+id, "READY "+state+" -")
 		}
 		p := openPeer(h.Addr)
 		defer p.Close()
@@ -188,7 +190,7 @@
 			for i, data := range []string{"crpbgzawha\nxcvnz", "a\rb", "a\r", "a\n", "\n\r", "a\nQUERY 9 WRITE k c", "a\r\r"} {
 				for _, verb := range []string{"WRITE k ", "READ k "} {
 					id := fmt.Sprintf("i%d\n%c", i, verb[0])
-					So(p.ask("QUERY "+id+" "+verb+data), ShouldResemble, want("I"))
+					So(p.ask("QUERY "+id+" "+verb+data), ShouldResemble, want("I", id))
 					So(in.linesWith(id), ShouldResemble, []string{"QUERY " + id + " " + verb + data})
 				}
 			}
@@ -198,14 +200,14 @@
 		})
 		Convey("A transaction runs its statements whole", func() {
 			So(p.ask("QUERY t1 BEGIN"), ShouldResemble, []string{"DONE -", "READY T -"})
-			So(p.ask("QUERY t2 WRITE 15 crpbgzawha\nxcvnz"), ShouldResemble, want("T"))
-			So(p.ask("QUERY t3 COMMIT"), ShouldResemble, want("I"))
+			So(p.ask("QUERY t2 WRITE 15 crpbgzawha\nxcvnz"), ShouldResemble, want("T", "t2"))
+			So(p.ask("QUERY t3 COMMIT"), ShouldResemble, want("I", "t3"))
 			So(in.linesWith("t2"), ShouldResemble, []string{"QUERY t2 WRITE 15 crpbgzawha\nxcvnz"})
 		})
 		Convey("Session values, shapes and arguments arrive whole", func() {
 			So(p.ask("QUERY s1 SET v\n1 x\ny\r"), ShouldResemble, []string{"DONE -", "READY I -"})
 			So(p.ask("QUERY s2 PREPARE a\nb WRITE q\n2\r"), ShouldResemble, []string{"DONE -", "READY I -"})
-			So(p.ask("QUERY s3 EXEC a\nb 1a4 x\ny\r"), ShouldResemble, want("I"))
+			So(p.ask("QUERY s3 EXEC a\nb 1a4 x\ny\r"), ShouldResemble, want("I", "s3"))
 			So(in.linesWith("SET"), ShouldResemble, []string{"QUERY - SET v\n1 x\ny\r"})
 			So(in.linesWith("PREPARE"), ShouldResemble, []string{"QUERY - PREPARE p0 WRITE q\n2\r"})
 			So(in.linesWith("EXEC"), ShouldResemble, []string{"QUERY s3 EXEC p0 1a4 x\ny\r"})
--- a/internal/traffic/front/memory_test.go
+++ b/internal/traffic/front/memory_test.go
@@ -15,7 +15,7 @@
 // before them wait for their caller.
 func TestBlockedCallerCannotFillMemory(t *testing.T) {
 	Convey("Given a caller that reads slowly and has more answers unread than the limit", t, func() {
-		row := strings.Repeat("r", 1<<20)
+		row := strings.Repeat("r", 1<<20-len("ROW "))
 		h := startCutHost(t, time.Millisecond, []string{row, row, row, row, row, row, row, row, row, row, row, row}, func(s *front.Server) {
 			s.Limits = front.Limits{MessageTimeout: front.DefaultMessageTimeout, UnreadBytes: front.DefaultUnreadBytes}
 		})
--- a/internal/traffic/lend/drain_test.go
+++ b/internal/traffic/lend/drain_test.go
@@ -180,12 +180,14 @@
 		go func() {
 			defer c.Close()
 			r := bufio.NewReader(c)
+			n := 0
 			for line, err := r.ReadString('\n'); err == nil; line, err = r.ReadString('\n') {
+				n++
 				if strings.HasPrefix(line, "QUERY") {
 					for _, row := range rows {
 						fmt.Fprintf(c, "ROW %s\r\n", row)
 					}
-					fmt.Fprint(c, "DONE mac\r\n")
+					fmt.Fprintf(c, "DONE mac.%d\r\n", n)
 				}
 				fmt.Fprint(c, "READY I 1.1\r\n")
 			}
