front: Parse a message that waits for its reader once

While a caller has not read enough of the answers before it, a complete message stays in the inbox; whatever arrived meanwhile had it parsed, and so copied, again. A caller that reads slowly could have the one event loop of a host copy 1 MiB for each few bytes that it sent. Such a message was complete before, so it now waits without a look at it; when the caller has read enough, or nothing for too long, things go on as before.

--- a/internal/traffic/front/caller.go
+++ b/internal/traffic/front/caller.go
@@ -122,7 +122,7 @@
 		c.sendsAhead = c.sendsAhead || c.used && c.in.size() > 0
 		return nil, false
 	}
-	if c.in.size() == 0 {
+	if c.in.size() == 0 || c.blocked && c.awaitsReader(now) {
 		return nil, false
 	}
 	m, n, err := c.parse()
