agent: Refuse a call that can't be encoded as not run

A change with a request id or name that is not UTF-8 was sent to nobody, tried again for the whole time of the call and then told as one that may have run. Protobuf does not encode such a text; Send now says so with ErrEncode, before it writes anything, and the call is refused at once as invalid and not run.

Before: "Expected: fault.Verdict(0) Actual: fault.Verdict(1)" after 1 s; TestCallThatCannotBeEncodedHasNotRun passes now.

--- a/internal/base/link/link.go
+++ b/internal/base/link/link.go
@@ -48,6 +48,10 @@
 	retiredCheckInterval = 100 * time.Millisecond
 )
 
+// ErrEncode is returned by Send for a message that can't be encoded, for instance because a text in it is not
+// UTF-8. Nothing of it was sent.
+var ErrEncode = errors.New("encode message")
+
 // Conn is one stream of messages. Recv and Send may run concurrently, but only one goroutine may call
 // Recv at a time.
 type Conn struct {
@@ -80,7 +84,7 @@
 	c.buf = binary.AppendUvarint(c.buf[:0], uint64(proto.Size(m)))
 	b, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(c.buf, m)
 	if err != nil {
-		return fmt.Errorf("encode message: %w", err)
+		return fmt.Errorf("%w: %w", ErrEncode, err)
 	}
 	c.buf = b
 	defer c.dropBuffer()
--- a/internal/control/agent/calls.go
+++ b/internal/control/agent/calls.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/agatespindle/agatespindle/internal/base/clock"
 	"github.com/agatespindle/agatespindle/internal/base/fault"
+	"github.com/agatespindle/agatespindle/internal/base/link"
 	"github.com/agatespindle/agatespindle/internal/base/wire"
 	"github.com/agatespindle/agatespindle/internal/control/leader"
 )
@@ -57,7 +59,9 @@
 	defer c.Close()
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	defer stop()
-	if err := c.Send(call); err != nil {
+	if err := c.Send(call); errors.Is(err, link.ErrEncode) {
+		return nil, fault.New(fault.NotRun, fault.Invalid, "a name or id in the call is not UTF-8").WithCause(err)
+	} else if err != nil {
 		return nil, fault.New(verdictWithoutReply(call), fault.NoQuorum, "connection to the control host failed while sending the call").WithCause(err)
 	}
 	reply := &wire.ControlReply{}
