holder: Guard the delay of cancel requests in its test

The race detector saw the test of late cancel requests set the delay while the deployment's start read it.

--- a/internal/traffic/holder/cancel_test.go
+++ b/internal/traffic/holder/cancel_test.go
@@ -14,7 +14,9 @@
 func TestLateCancelHitsNoOtherCaller(t *testing.T) {
 	Convey("Given a cancel request that reaches the backend server after the statement has ended", t, func() {
 		d := startDeployment(t)
+		d.mu.Lock()
 		d.cancelDelay = 3 * settleTime
+		d.mu.Unlock()
 		d.onAnswer(func(w net.Conn, request string, answer []byte) {
 			switch {
 			case strings.Contains(request, "first"):
--- a/internal/traffic/holder/deployment_test.go
+++ b/internal/traffic/holder/deployment_test.go
@@ -179,7 +179,10 @@
 		}
 		cancel := c.Cancel
 		c.Cancel = func(ctx context.Context) error {
-			time.Sleep(d.cancelDelay)
+			d.mu.Lock()
+			delay := d.cancelDelay
+			d.mu.Unlock()
+			time.Sleep(delay)
 			return cancel(ctx)
 		}
 		c.Conn, err = d.relay(c.Conn)
