holder: Show a caller told the outcome of another one's write

Two callers use the key '1' for INSERT INTO t VALUES (1); the second is told

Expected: answer{verdict:"NotRun", sqlState:"23505", status:"I"} Actual: answer{tags:[]string{"INSERT 0 1"}, status:"I"}

and the table has one row; its transaction with the key is told Ran.

--- a/internal/traffic/holder/callers_test.go
+++ b/internal/traffic/holder/callers_test.go
@@ -185,3 +185,31 @@
 		}
 	})
 }
+
+// TestKeyOfAnotherCallerIsNotReplayed guards against a caller that is told the outcome of another one's write in
+// place of its own.
+func TestKeyOfAnotherCallerIsNotReplayed(t *testing.T) {
+	Convey("Given a caller that has used a key", t, func() {
+		d := startDeployment(t)
+		run := func(s *session, sql string) answer {
+			So(s.exec("SET agatespindle.key = '1'").verdict, ShouldEqual, "")
+			return s.exec(sql)
+		}
+		const write = "INSERT INTO t VALUES (1)"
+		one, other := d.openAs("one"), d.openAs("other")
+		So(one.exec("CREATE TABLE t (i INTEGER)").verdict, ShouldEqual, "")
+		So(run(one, write).tags, ShouldResemble, []string{"INSERT 0 1"})
+		Convey("The same write of another one with that key is refused as not run", func() {
+			So(run(other, write), ShouldResemble, answer{verdict: "NotRun", sqlState: "23505", status: "I"})
+			So(run(one, write).tags, ShouldResemble, []string{"INSERT 0 1"})
+			So(one.exec("SELECT COUNT(*) FROM t").rows, ShouldResemble, []string{"1"})
+		})
+		Convey("A transaction of another one with that key is refused as not run, and its own as run", func() {
+			for s, want := range map[*session]string{other: "NotRun", one: "Ran"} {
+				So(s.exec("BEGIN").status, ShouldEqual, "T")
+				So(run(s, write), ShouldResemble, answer{verdict: want, sqlState: "23505", status: "E"})
+				So(s.exec("ROLLBACK").status, ShouldEqual, "I")
+			}
+		})
+	})
+}
--- a/internal/traffic/holder/deployment_test.go
+++ b/internal/traffic/holder/deployment_test.go
@@ -283,14 +283,17 @@
 }
 
 // open starts a session that lasts until the end of the test.
-func (d *deployment) open() *session {
+func (d *deployment) open() *session { return d.openAs("tester") }
+
+// openAs is open for a caller of another name.
+func (d *deployment) openAs(user string) *session {
 	d.t.Helper()
 	conn, err := net.Dial("tcp", d.host.Config.CallerAddr)
 	So(err, ShouldBeNil)
 	d.t.Cleanup(func() { conn.Close() })
 	_ = conn.SetDeadline(time.Now().Add(2 * waitTimeout))
 	s := &session{conn: conn, f: pgproto3.NewFrontend(conn, conn)}
-	So(s.run(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersionNumber, Parameters: map[string]string{"user": "tester", "database": groupName}}).err, ShouldBeNil)
+	So(s.run(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersionNumber, Parameters: map[string]string{"user": user, "database": groupName}}).err, ShouldBeNil)
 	return s
 }
 
