holder: Replay the outcome of a key to its own caller alone

A caller whose write had a key that another caller had used for the same text was told that one's outcome, and its write never ran; its transaction was told Ran. Keys were known by their text alone, which callers choose. With the digest of the statement, that of the caller is now kept. A key of another caller is refused with 23505, NotRun; where the owner of a transaction's key can't be learned, the verdict is MayHaveRun. Keys that were stored before are anyone's, as then; hosts of the code before refuse keys that this one stored. Callers share the space of keys still: one can take a key from another.

--- a/internal/traffic/holder/work__key.go
+++ b/internal/traffic/holder/work__key.go
@@ -38,6 +38,24 @@
 
 func digest(b []byte) string { return strconv.FormatUint(xxhash.Sum64(b), 16) }
 
+// transactionDigest takes the place of a statement's digest where the key is that of a caller's transaction.
+const transactionDigest = "transaction"
+
+// signed returns what is stored as the digest of a key: that of its statement and that of the caller.
+func (w *Work) signed(statement string) string { return statement + "." + digest([]byte(w.req.Caller)) }
+
+// isOwn reports whether a stored digest is that of a key of the caller, and returns that of the statement. A key
+// that was stored without a caller is anyone's.
+func (w *Work) isOwn(stored string) (statement string, own bool) {
+	statement, _, signed := strings.Cut(stored, ".")
+	return statement, !signed || stored == w.signed(statement)
+}
+
+// errForeignKey is the refusal of a key that another caller has used.
+func errForeignKey(key string) error {
+	return fault.New(fault.NotRun, fault.RequestKeyReused, "idempotency key %q was already used by another caller", key)
+}
+
 // runKeyed runs a batch with an idempotency key: the key, the write and its outcome are one
 // transaction. If the key exists, nothing runs and the response is the stored first outcome.
 func (w *Work) runKeyed(ctx context.Context, b *wire.Batch, sink Sink, release func()) (Outcome, error) {
@@ -145,7 +163,7 @@
 // expired keys when that is due.
 func (w *Work) keyInsertion(b *wire.Batch) string {
 	now := w.pool.h.Now().Unix()
-	text := fmt.Sprintf(insertKeySQL, quote(b.Key), quote(digest(b.Data)), now)
+	text := fmt.Sprintf(insertKeySQL, quote(b.Key), quote(w.signed(digest(b.Data))), now)
 	if w.pool.keyExpiryDue() {
 		text = fmt.Sprintf(deleteExpiredSQL, now-keyRetention) + "; " + text
 	}
@@ -163,11 +181,14 @@
 // insertKey inserts a key in the caller's own transaction. If the key exists, the transaction has
 // run before.
 func (w *Work) insertKey(ctx context.Context, b *wire.Batch) error {
-	r, err := w.queryBeforeCommit(ctx, fmt.Sprintf(insertKeySQL, quote(b.Key), quote("transaction"), w.pool.h.Now().Unix()), "INSERT")
+	r, err := w.queryBeforeCommit(ctx, fmt.Sprintf(insertKeySQL, quote(b.Key), quote(w.signed(transactionDigest)), w.pool.h.Now().Unix()), "INSERT")
 	switch {
 	case err != nil:
 		return err
 	case r.sqlState == sqlStateUniqueViolation:
+		if err := w.checkOwner(ctx, b); err != nil {
+			return err
+		}
 		return fault.New(fault.Ran, fault.RequestKeyReused, "transaction with idempotency key %q has already run", b.Key)
 	case r.sqlState != "":
 		return fault.New(fault.NotRun, fault.BadRequestKey, "cannot record the idempotency key: SQLSTATE %s; set it before the transaction's first statement", r.sqlState)
@@ -175,8 +196,24 @@
 	return nil
 }
 
-// loadOutcome returns the outcome stored with the batch's key. The key must have been used for the
-// same statement.
+// checkOwner rolls the caller's transaction back and returns an error unless its key is the caller's.
+func (w *Work) checkOwner(ctx context.Context, b *wire.Batch) error {
+	_, err := w.queryBeforeCommit(ctx, "ROLLBACK", "ROLLBACK")
+	var r *reply
+	if err == nil {
+		r, err = w.queryBeforeCommit(ctx, fmt.Sprintf(selectOutcomeSQL, quote(b.Key)), "SELECT")
+	}
+	if err != nil || len(r.rows) != 1 || len(r.rows[0]) != 2 {
+		return fault.New(fault.MayHaveRun, fault.ConnectionLost, "transaction with idempotency key %q may have run before", b.Key).WithCause(err)
+	}
+	if _, own := w.isOwn(string(r.rows[0][0])); !own {
+		return errForeignKey(b.Key)
+	}
+	return nil
+}
+
+// loadOutcome returns the outcome stored with the batch's key. The key must have been used by the
+// same caller for the same statement.
 func (w *Work) loadOutcome(ctx context.Context, b *wire.Batch) (*storedOutcome, error) {
 	r, err := w.queryBeforeCommit(ctx, fmt.Sprintf(selectOutcomeSQL, quote(b.Key)), "SELECT")
 	if err != nil {
@@ -185,7 +222,11 @@
 	if len(r.rows) != 1 || len(r.rows[0]) != 2 {
 		return nil, fault.New(fault.MayHaveRun, fault.Internal, "idempotency key %q has no stored outcome", b.Key)
 	}
-	if string(r.rows[0][0]) != digest(b.Data) {
+	statement, own := w.isOwn(string(r.rows[0][0]))
+	if !own {
+		return nil, errForeignKey(b.Key)
+	}
+	if statement != digest(b.Data) {
 		return nil, fault.New(fault.NotRun, fault.RequestKeyReused, "idempotency key %q was already used for a different statement", b.Key)
 	}
 	return &storedOutcome{commandTag: string(r.rows[0][1])}, nil
