holder: Choose test ports that no outgoing connection takes

One of the last runs of the package failed before its test began: in TestCancelledRequestDoesNotEndTheNextCallers the host's caller port refused connections for a minute. Its port had been one of the system's ephemeral range, chosen and released before the host started; that a connection took it is suspected, not shown, as the host's end was not printed. The ports now come from below that range, as in tools/host, and the end of a host is printed.

--- a/internal/traffic/holder/deployment_test.go
+++ b/internal/traffic/holder/deployment_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -65,7 +66,13 @@
 	d.host = h
 	d.runUntilCleanup(func(ctx context.Context) <-chan error {
 		done := make(chan error, 1)
-		go func() { done <- h.Run(ctx) }()
+		go func() {
+			err := h.Run(ctx)
+			if err != nil {
+				t.Logf("host ended: %v", err)
+			}
+			done <- err
+		}()
 		return done
 	})
 	d.startServer()
@@ -96,14 +103,30 @@
 	})
 }
 
+// Test ports lie below the system's ephemeral port range: an outgoing connection could take a port between its
+// choice and the start of the host.
+const (
+	firstPort = 20000
+	portCount = 12000
+)
+
+// portOffset is the offset from firstPort of the port tried last. It starts at a value that depends on the process
+// id, so that concurrent test processes try different ports.
+var portOffset = os.Getpid() * 64 % portCount
+
+// freeAddr returns a loopback address with a TCP port that nothing listens on.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range portCount {
+		portOffset = (portOffset + 1) % portCount
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+portOffset))
+		if err == nil {
+			defer ln.Close()
+			return ln.Addr().String()
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	t.Fatal("no free TCP port in the test range")
+	return ""
 }
 
 func (d *deployment) startServer() {
