--- a/internal/traffic/holder/deployment_test.go
+++ b/internal/traffic/holder/deployment_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -65,7 +66,13 @@
 	d.host = h
 	d.runUntilCleanup(func(ctx context.Context) <-chan error {
 		done := make(chan error, 1)
-		go func() { done <- h.Run(ctx) }()
+		go func() {
+			err := h.Run(ctx)
+			if err != nil {
+				t.Logf("host ended: %v", err)
+			}
+			done <- err
+		}()
 		return done
 	})
 	d.startServer()
@@ -96,14 +103,30 @@
 	})
 }
 
+// Test ports lie below the system's ephemeral port range: an outgoing connection could take a port between its
+// choice and the start of the host.
+const (
+	firstPort = 20000
+	portCount = 12000
+)
+
+// portOffset is the offset from firstPort of the port tried last. It starts at a value that depends on the process
+// id, so that concurrent test processes try different ports.
+var portOffset = os.Getpid() * 64 % portCount
+
+// freeAddr returns a loopback address with a TCP port that nothing listens on.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range portCount {
+		portOffset = (portOffset + 1) % portCount
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+portOffset))
+		if err == nil {
+			defer ln.Close()
+			return ln.Addr().String()
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	t.Fatal("no free TCP port in the test range")
+	return ""
 }
 
 func (d *deployment) startServer() {
@@ -179,7 +202,10 @@
 		}
 		cancel := c.Cancel
 		c.Cancel = func(ctx context.Context) error {
-			time.Sleep(d.cancelDelay)
+			d.mu.Lock()
+			delay := d.cancelDelay
+			d.mu.Unlock()
+			time.Sleep(delay)
 			return cancel(ctx)
 		}
 		c.Conn, err = d.relay(c.Conn)
@@ -280,14 +306,17 @@
 }
 
 // open starts a session that lasts until the end of the test.
-func (d *deployment) open() *session {
+func (d *deployment) open() *session { return d.openAs("tester") }
+
+// openAs is open for a caller of another name.
+func (d *deployment) openAs(user string) *session {
 	d.t.Helper()
 	conn, err := net.Dial("tcp", d.host.Config.CallerAddr)
 	So(err, ShouldBeNil)
 	d.t.Cleanup(func() { conn.Close() })
 	_ = conn.SetDeadline(time.Now().Add(2 * waitTimeout))
 	s := &session{conn: conn, f: pgproto3.NewFrontend(conn, conn)}
-	So(s.run(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersionNumber, Parameters: map[string]string{"user": "tester", "database": groupName}}).err, ShouldBeNil)
+	So(s.run(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersionNumber, Parameters: map[string]string{"user": user, "database": groupName}}).err, ShouldBeNil)
 	return s
 }
 
