pool: Compare errors by code and text alone

An instance that repeats an error may tell another position with it, so that the repeated one passed for genuine and the true answer was taken by the next statement. Errors now count as equal whatever the state and position. The test of a refusal the second time plays other positions and a transaction too; one step of TestAnswersAreJudged took a second RDONLY for genuine and plays FAILED now, which did not come before.

--- a/internal/traffic/pool/answers.go
+++ b/internal/traffic/pool/answers.go
@@ -157,7 +157,8 @@
 	return g.id, now.Sub(g.at), true
 }
 
-// digest returns a hash that is equal for equal answers: of the proof or, without one, of the whole answer.
+// digest returns a hash that is equal for equal answers: of the proof or, without one, of the whole answer. Errors are
+// equal whatever the state and the position.
 func digest(a flow.Answer) uint64 {
 	h := xxhash.New()
 	if a.Proof != "" {
@@ -165,9 +166,12 @@
 		return h.Sum64()
 	}
 	var b [18]byte
-	b[0], b[1] = byte(a.Code), byte(a.State)
-	binary.LittleEndian.PutUint64(b[2:], a.Position.Term)
-	binary.LittleEndian.PutUint64(b[10:], a.Position.Position)
+	b[0] = byte(a.Code)
+	if a.Code == flow.OK {
+		b[1] = byte(a.State)
+		binary.LittleEndian.PutUint64(b[2:], a.Position.Term)
+		binary.LittleEndian.PutUint64(b[10:], a.Position.Position)
+	}
 	_, _ = h.Write(b[:])
 	_, _ = h.WriteString(a.Text)
 	for _, row := range a.Rows {
--- a/internal/traffic/pool/answers_test.go
+++ b/internal/traffic/pool/answers_test.go
@@ -337,7 +337,7 @@
 			So(judge(within, flow.Answer{Code: flow.Busy, State: flow.InTransaction}), ShouldEqual, pool.Genuine)
 			So(judge(within, flow.Answer{Code: flow.ReadOnly, State: flow.InFailedTransaction}), ShouldEqual, pool.Genuine)
 			So(judge(ending, flow.Answer{Proof: "2"}), ShouldEqual, pool.Genuine)
-			So(judge(ending, flow.Answer{Code: flow.ReadOnly}), ShouldEqual, pool.Genuine)
+			So(judge(ending, flow.Answer{Code: flow.Failed}), ShouldEqual, pool.Genuine)
 			So(judge(pool.Exchange{Request: flow.Request{Op: flow.RollbackTx}, InTransaction: true}, flow.Answer{}), ShouldEqual, pool.Genuine)
 		})
 		Convey("An answer without a proof is uncertain if an equal one came before", func() {
@@ -358,9 +358,10 @@
 				So(judge(autocommit, flow.Answer{Code: flow.ReadOnly}), ShouldEqual, pool.Genuine)
 			})
 		})
-		Convey("A refusal is uncertain the second time", func() {
-			So(judge(autocommit, flow.Answer{Code: flow.Busy}), ShouldEqual, pool.Genuine)
-			So(judge(autocommit, flow.Answer{Code: flow.Busy}), ShouldEqual, pool.Uncertain)
+		Convey("A refusal is uncertain the second time, also at another position", func() {
+			So(judge(autocommit, flow.Answer{Code: flow.Busy, Position: at(1)}), ShouldEqual, pool.Genuine)
+			So(judge(autocommit, flow.Answer{Code: flow.Busy, Position: at(2)}), ShouldEqual, pool.Uncertain)
+			So(judge(ending, flow.Answer{Code: flow.Busy, State: flow.InTransaction, Position: at(3)}), ShouldEqual, pool.Uncertain)
 		})
 	})
 }
