pool, sess: Close fewer connections, and take no answer below its position

A connection is used on after its first LAGGING and closed at the second, which may be the first one again; a read or an opening is then tried elsewhere, which is right whether it ran or not. After a rollback that may be an earlier one's the connection is used on: the true answer, if there is one, fits no statement of a caller, and until a proof settles the order errors are in doubt. - a read that is refused as busy a second time on a connection is told busy, not in doubt, so that it is not sent again at once. - connections are replaced for a position query one at a time, and none while the instance accepts no more; a proof in doubt does not exclude the instance. - a request that could not be encoded waited for an answer until its time-out and counted as sent; it counts as not sent at once.

--- a/internal/traffic/pool/answers.go
+++ b/internal/traffic/pool/answers.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/agatespindle/agatespindle/internal/traffic/flow"
+	"github.com/agatespindle/agatespindle/internal/traffic/token"
 )
 
 const (
@@ -43,6 +44,8 @@
 	Request flow.Request
 	// InTransaction is set if a transaction is open before the request.
 	InTransaction bool
+	// Ends is set if the request commits or rolls back.
+	Ends bool
 }
 
 // fits reports whether an instance can give the answer to the request: successful answers to callers'
@@ -50,21 +53,21 @@
 // state before.
 func (x Exchange) fits(a flow.Answer) bool {
 	caller := x.Request.Op == flow.Forward || x.Request.Op == flow.ExecPrepared
-	// A commit is one of the requests that write.
-	mayEnd := x.Request.Op == flow.RollbackTx || x.Request.Op == flow.Forward && x.Request.Writes
 	switch {
+	case a.Code == flow.Behind && x.Request.MinPosition == (token.Position{}):
+		return false
 	case a.Code != flow.OK && !x.InTransaction:
 		return a.State == flow.Idle
 	case a.Code != flow.OK:
-		return a.State != flow.Idle || mayEnd
+		return a.State != flow.Idle || x.Ends
 	case caller == (a.Proof == ""):
 		return false
 	case opensTransaction(x.Request.Op):
-		return a.State == flow.InTransaction
+		return a.State == flow.InTransaction && !a.Position.Before(x.Request.MinPosition)
 	case x.Request.Op == flow.RollbackTx || !x.InTransaction:
 		return a.State == flow.Idle
 	}
-	return a.State == flow.InTransaction || mayEnd && a.State == flow.Idle
+	return a.State == flow.InTransaction || x.Ends && a.State == flow.Idle
 }
 
 // Answers is the record of the answers on one connection. Answers name no request, so that only their order
--- a/internal/traffic/pool/conn.go
+++ b/internal/traffic/pool/conn.go
@@ -29,6 +29,9 @@
 // errDoubt is returned for a request that isn't sent because answers have lost their order.
 var errDoubt = errors.New("an earlier answer belongs to another request")
 
+// errUnsendable is returned for a request that the instance would read as another one.
+var errUnsendable = errors.New("request can't be sent as it is")
+
 // errFull is returned for a request that isn't sent because no more answers can be recorded.
 var errFull = errors.New("too many answers on one connection")
 
@@ -100,14 +103,17 @@
 // error code in an earlier answer is returned as an error. After any error the connection must be
 // closed. An answer that may belong to another request is replaced by one with
 // code flow.InDoubt.
-func (c *Conn) roundTrip(timeout time.Duration, reqs ...flow.Request) (flow.Answer, flow.Stage, error) {
+func (c *Conn) roundTrip(timeout time.Duration, last bool, reqs ...flow.Request) (flow.Answer, flow.Stage, error) {
 	if err := c.checkQuiet(); err != nil {
 		return flow.Answer{}, flow.Unsent, err
 	}
 	c.startAnswer()
 	c.buf = c.buf[:0]
 	for _, req := range reqs {
-		c.buf = c.pool.Codec.AppendRequest(c.buf, req)
+		n := len(c.buf)
+		if c.buf = c.pool.Codec.AppendRequest(c.buf, req); len(c.buf) == n {
+			return flow.Answer{}, flow.Unsent, errUnsendable
+		}
 	}
 	c.pool.requestSent()
 	defer c.pool.requestDone()
@@ -128,19 +134,22 @@
 		if err != nil {
 			return c.unanswered(req, err)
 		}
-		found := c.answers.Judge(c.pool.Now(), Exchange{req, c.inTransaction}, a)
+		ends := req.Op == flow.RollbackTx || last && i == len(reqs)-1 && c.inTransaction
+		found := c.answers.Judge(c.pool.Now(), Exchange{req, c.inTransaction, ends}, a)
 		c.noteAnswer(found, req, a)
-		if found == Unfit || found == Repeated || found == Uncertain && a.Code != flow.OK {
+		switch {
+		case found == Uncertain && triesElsewhere(req, a) && !c.inTransaction:
+			c.retire, c.dead = "doubt", true
+		case found == Unfit || found == Repeated || found == Uncertain && a.Code != flow.OK:
 			return c.doubt(), flow.Answered, nil
-		}
-		if found == Uncertain {
+		case found == Uncertain:
 			a.Position = token.Position{}
 		}
 		if opensTransaction(req.Op) {
 			c.openedAt = a.Position
 		}
 		c.inTransaction = a.State != flow.Idle
-		if a.Code != flow.OK {
+		if a.Code != flow.OK && a.Code != flow.Behind {
 			c.retire = "error"
 		}
 		if i == len(reqs)-1 {
@@ -168,6 +177,12 @@
 	return flow.Answer{}, flow.Sent, err
 }
 
+// triesElsewhere reports whether an answer only means that a request, which has no lasting effect, is tried
+// elsewhere or later: that is right whether the instance has run it or not.
+func triesElsewhere(req flow.Request, a flow.Answer) bool {
+	return (a.Code == flow.Busy || a.Code == flow.Behind) && !req.Writes
+}
+
 // doubt returns the answer to a request that may have run, where nothing more is known since answers have lost their
 // order. The connection is not used any more.
 func (c *Conn) doubt() flow.Answer {
@@ -189,7 +204,7 @@
 	want.Each(func(name, value string) {
 		reqs = append(reqs, flow.Request{Op: flow.SetValue, Name: name, Value: value})
 	})
-	a, _, err := c.roundTrip(timeout, reqs...)
+	a, _, err := c.roundTrip(timeout, false, reqs...)
 	if err != nil {
 		return err
 	}
@@ -217,7 +232,7 @@
 }
 
 // Run implements Handle. Setting session values and preparing statements takes no admission slot.
-func (c *Conn) Run(timeout time.Duration, values flow.Values, req flow.Request, _ bool) (flow.Answer, flow.Stage, error) {
+func (c *Conn) Run(timeout time.Duration, values flow.Values, req flow.Request, last bool) (flow.Answer, flow.Stage, error) {
 	start := c.pool.Now()
 	t := newTicket(c.prio, c.inTransaction, c.slotDeadline)
 	switch {
@@ -231,11 +246,11 @@
 		return c.pool.overloaded(c.state()), flow.Answered, nil
 	}
 	defer release()
-	return c.runAdmitted(timeout-c.pool.Now().Sub(start), values, req)
+	return c.runAdmitted(timeout-c.pool.Now().Sub(start), values, req, last)
 }
 
 // runAdmitted runs a request that has been admitted.
-func (c *Conn) runAdmitted(timeout time.Duration, values flow.Values, req flow.Request) (flow.Answer, flow.Stage, error) {
+func (c *Conn) runAdmitted(timeout time.Duration, values flow.Values, req flow.Request, last bool) (flow.Answer, flow.Stage, error) {
 	if c.lacksMemory(req.Op) {
 		return c.pool.overloaded(c.state()), flow.Answered, nil
 	}
@@ -253,24 +268,27 @@
 		}
 	}
 	if req.Op != flow.ExecPrepared {
-		return c.roundTrip(timeout, req)
+		return c.roundTrip(timeout, last, req)
 	}
 	name, prepare := c.preparedName(req.Template, req.Writes)
 	req.Name = name
-	return c.roundTrip(timeout, append(prepare, req)...)
+	return c.roundTrip(timeout, last, append(prepare, req)...)
 }
 
 // locate runs a position query: an empty transaction that may write, which only the primary opens. If the answer
-// may be an earlier one, the query is sent again on a new connection.
+// may be an earlier one, the query is sent again on a new connection; if none may be opened now, its answer has no
+// position.
 func (c *Conn) locate(timeout time.Duration) (flow.Answer, flow.Stage, error) {
 	start := time.Now()
 	for renewed := false; ; renewed = true {
-		a, stage, err := c.roundTrip(timeout-time.Since(start), flow.Request{Op: flow.BeginReadWriteTx}, flow.Request{Op: flow.RollbackTx})
+		a, stage, err := c.roundTrip(timeout-time.Since(start), false, flow.Request{Op: flow.BeginReadWriteTx}, flow.Request{Op: flow.RollbackTx})
 		a.Position = c.openedAt
-		if err != nil || a.Code != flow.OK || a.Position != (token.Position{}) || renewed {
+		if err != nil || a.Code != flow.OK || a.Position != (token.Position{}) || renewed || !c.pool.startRenewal(timeout-time.Since(start)) {
 			return a, stage, err
 		}
-		if err := c.renew(); err != nil {
+		err = c.renew()
+		c.pool.endRenewal()
+		if err != nil {
 			return flow.Answer{}, flow.Unsent, err
 		}
 	}
@@ -354,8 +372,6 @@
 	case c.retire != "":
 	case c.inTransaction:
 		c.retire = "open"
-	case c.answers.Unsettled():
-		c.retire = "unsettled"
 	case c.answers.full():
 		c.retire = "full"
 	}
--- a/internal/traffic/pool/dial.go
+++ b/internal/traffic/pool/dial.go
@@ -24,6 +24,30 @@
 	}
 }
 
+// startRenewal waits until a connection may be replaced by a new one: one at a time, and none while the instance
+// accepts no more or can't be reached. It returns false if that takes longer than limit. Each true result must be
+// followed by endRenewal.
+func (p *Pool) startRenewal(limit time.Duration) bool {
+	p.renewalOnce.Do(func() { p.renewal = make(chan struct{}, 1) })
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	select {
+	case p.renewal <- struct{}{}:
+	case <-t.C:
+		return false
+	}
+	now := p.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.down || now.Before(p.connLimitUntil) {
+		p.endRenewal()
+		return false
+	}
+	return true
+}
+
+func (p *Pool) endRenewal() { <-p.renewal }
+
 // startDial opens a connection for an account in the background. The caller holds mu.
 func (p *Pool) startDial(account string) {
 	if p.dialingFor == nil {
--- a/internal/traffic/pool/pool.go
+++ b/internal/traffic/pool/pool.go
@@ -98,6 +98,10 @@
 	linesOnce sync.Once
 	lines     *logs.RateLimiter
 
+	// renewal holds a value while a connection is replaced by a new one.
+	renewal     chan struct{}
+	renewalOnce sync.Once
+
 	mu sync.Mutex
 	// idle are the idle connections, the longest idle one first.
 	idle []*Conn
--- a/internal/traffic/pool/queued_handle.go
+++ b/internal/traffic/pool/queued_handle.go
@@ -85,7 +85,7 @@
 		return flow.Answer{}, flow.Unsent, err
 	}
 	h.conn = c
-	return c.runAdmitted(timeout-h.pool.Now().Sub(start), values, req)
+	return c.runAdmitted(timeout-h.pool.Now().Sub(start), values, req, last)
 }
 
 // firstTicket returns the ticket of the handle's first request, which must be answered by limit.
--- a/internal/traffic/sess/execution.go
+++ b/internal/traffic/sess/execution.go
@@ -265,7 +265,7 @@
 		conn.Release()
 	}
 	stillPrimary := err == nil && proof.Code == flow.OK
-	if !stillPrimary {
+	if !stillPrimary && proof.Code != flow.InDoubt {
 		e.exclude(m.Instance)
 	}
 	if !stillPrimary || !e.group.MissesNoWrite(answer.Position, proof.Position) {
