holder: Pass on notices that arrive between the statements of a transaction

They are now read before the statement is sent and passed on in front of its answer; anything else still closes the connection, unsent.

--- a/internal/traffic/holder/expect.go
+++ b/internal/traffic/holder/expect.go
@@ -54,10 +54,14 @@
 // answersByStep are, for each step of a batch, the messages that complete it.
 var answersByStep = map[byte]string{'P': "1", 'B': "2", 'C': "3", rows: "Tn", 'E': "CIs"}
 
+// comesAnyTime reports whether a message answers no statement and may come at any time: NoticeResponse,
+// ParameterStatus and NotificationResponse.
+func comesAnyTime(kind byte) bool { return kind == 'N' || kind == 'S' || kind == 'A' }
+
 // takes reports whether a message of the server may come next, and takes it into account.
 func (x *expectation) takes(kind byte, body []byte) bool {
 	switch {
-	case kind == 'N' || kind == 'S' || kind == 'A': // NoticeResponse, ParameterStatus, NotificationResponse
+	case comesAnyTime(kind):
 		return true
 	case kind == 'G' || kind == 'H' || kind == 'W': // CopyInResponse, CopyOutResponse, CopyBothResponse: add refuses them
 		return true
--- a/internal/traffic/holder/reply.go
+++ b/internal/traffic/holder/reply.go
@@ -54,7 +54,13 @@
 func (w *Work) exchange(ctx context.Context, b *wire.Batch, sink Sink) (*reply, error) {
 	c := w.conn
 	r := &reply{inTransaction: c.inTransaction, unsynced: c.unsynced}
-	if !c.quiet(w.pool.h.Now()) {
+	quiet := false
+	if c.inTransaction {
+		r.buf, quiet = c.takeNotices(w.pool.h.Now())
+	} else {
+		quiet = c.quiet(w.pool.h.Now())
+	}
+	if !quiet {
 		r.unsent = true
 		return r, errNotQuiet
 	}
--- a/internal/traffic/holder/server.go
+++ b/internal/traffic/holder/server.go
@@ -217,7 +217,7 @@
 // statement, so that bytes which nobody asked for would be taken for the answer to the next one. It counts
 // connections with such bytes.
 func (c *conn) quiet(now time.Time) bool {
-	if c.r.Buffered() == 0 && adapt.Idle(c.ServerConn.Conn) {
+	if c.idle() {
 		return true
 	}
 	_ = c.SetReadDeadline(now.Add(unaskedReadTimeout))
@@ -227,6 +227,30 @@
 	return false
 }
 
+// idle reports whether the connection is open and holds nothing unread.
+func (c *conn) idle() bool { return c.r.Buffered() == 0 && adapt.Idle(c.ServerConn.Conn) }
+
+// takeNotices is quiet for a connection within a transaction, on which messages may have come that answer no
+// statement. It returns them.
+func (c *conn) takeNotices(now time.Time) ([]byte, bool) {
+	var notices []byte
+	for !c.idle() {
+		_ = c.SetReadDeadline(now.Add(unaskedReadTimeout))
+		if b, err := c.r.Peek(1); err != nil || !comesAnyTime(b[0]) {
+			return nil, c.quiet(now)
+		}
+		kind, body, err := adapt.ReadMessage(c.r)
+		if err != nil {
+			return nil, false
+		}
+		if kind == 'S' && (&reply{}).parsePosition(body) {
+			continue
+		}
+		notices = adapt.AppendMessage(notices, kind, body)
+	}
+	return notices, true
+}
+
 // expireWith has calls on the connection fail once ctx ends. The returned function ends that: after it the
 // deadline of the connection no longer changes.
 func (c *conn) expireWith(ctx context.Context) func() {
