--- a/internal/traffic/flow/verdict.go
+++ b/internal/traffic/flow/verdict.go
@@ -39,9 +39,9 @@
 }
 
 // VerdictFor returns the verdict on a try that ended at a stage. Code is the backend server's code
-// and matters only if stage is Answered; InDoubt means that the answer may belong to another statement. The verdict guarantees no effect, or allows a retry of a
-// write, only where that is certain: nothing was sent, the backend server refused, or the statement
-// has no effect without a commit.
+// and matters only if stage is Answered; InDoubt means that the answer may belong to another statement.
+// The verdict guarantees no effect, or allows a retry of a write, only where that is certain: nothing was
+// sent, the backend server refused, or the statement has no effect without a commit.
 func VerdictFor(stage Stage, effect Effect, code Code) Verdict {
 	switch {
 	case stage == Unsent:
--- a/internal/traffic/pool/conn.go
+++ b/internal/traffic/pool/conn.go
@@ -99,10 +99,10 @@
 	writes bool
 }
 
-// roundTrip writes requests in one batch, reads an answer to each, and returns the last answer. An
-// error code in an earlier answer is returned as an error. After any error the connection must be
-// closed. An answer that may belong to another request is replaced by one with
-// code flow.InDoubt.
+// roundTrip writes requests in one batch, reads an answer to each, and returns the last answer. last is set if the
+// last request commits an open transaction. An error code in an earlier answer is returned as an error. After any
+// error the connection must be closed. An answer that may belong to another request is replaced by one with code
+// flow.InDoubt.
 func (c *Conn) roundTrip(timeout time.Duration, last bool, reqs ...flow.Request) (flow.Answer, flow.Stage, error) {
 	if err := c.checkQuiet(); err != nil {
 		return flow.Answer{}, flow.Unsent, err
@@ -138,7 +138,7 @@
 		found := c.answers.Judge(c.pool.Now(), Exchange{req, c.inTransaction, ends}, a)
 		c.noteAnswer(found, req, a)
 		switch {
-		case found == Uncertain && triesElsewhere(req, a) && !c.inTransaction:
+		case found == Uncertain && isTriedAgain(req, a) && !c.inTransaction:
 			c.retire, c.dead = "doubt", true
 		case found == Unfit || found == Repeated || found == Uncertain && a.Code != flow.OK:
 			return c.doubt(), flow.Answered, nil
@@ -177,9 +177,9 @@
 	return flow.Answer{}, flow.Sent, err
 }
 
-// triesElsewhere reports whether an answer only means that a request, which has no lasting effect, is tried
-// elsewhere or later: that is right whether the instance has run it or not.
-func triesElsewhere(req flow.Request, a flow.Answer) bool {
+// isTriedAgain reports whether a request is tried again after an error answer and may be even if the instance has
+// run it, since it has no lasting effect.
+func isTriedAgain(req flow.Request, a flow.Answer) bool {
 	return (a.Code == flow.Busy || a.Code == flow.Behind) && !req.Writes
 }
 
