--- a/internal/tools/whole/cluster_test.go
+++ b/internal/tools/whole/cluster_test.go
@@ -193,6 +193,8 @@
 	cmd := exec.Command(program, args...)
 	cmd.Env = append(os.Environ(), runAsProgramEnv+"=1")
 	cmd.Stdout, cmd.Stderr = log, log
+	// A stopped process is sent SIGHUP when its process group loses the shell that started the tests.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := cmd.Start(); err != nil {
 		c.t.Fatal(err)
 	}
