--- a/internal/traffic/holder/expect.go
+++ b/internal/traffic/holder/expect.go
@@ -1,8 +1,10 @@
 package holder
 
 import (
-	"bytes"
 	"errors"
+	"strings"
+
+	"github.com/agatespindle/agatespindle/internal/backend/adapt"
 )
 
 // errImpossible means that an answer, or a message of it, can't belong to the messages that were sent: answers
@@ -35,7 +37,7 @@
 	for len(data) > 0 {
 		kind, n := data[0], messageSize(data)
 		switch {
-		case kind == 'D' && n > headerSize && data[headerSize] == 'S':
+		case kind == 'D' && n > adapt.HeaderBytes && data[adapt.HeaderBytes] == 'S':
 			kind = describe
 		case kind == 'D':
 			kind = rows
@@ -48,9 +50,6 @@
 	return x
 }
 
-// headerSize is the size of a message header in bytes: type and length.
-const headerSize = 5
-
 // answersByStep are, for each step of a batch, the messages that complete it.
 var answersByStep = map[byte]string{'P': "1", 'B': "2", 'C': "3", rows: "Tn", 'E': "CIs"}
 
@@ -85,7 +84,7 @@
 		return true
 	}
 	x.open = x.open[1:]
-	return bytes.IndexByte([]byte(answersByStep[step]), kind) >= 0
+	return strings.IndexByte(answersByStep[step], kind) >= 0
 }
 
 // takesSimple is takes for the answer to a simple query.
--- a/internal/traffic/holder/holder.go
+++ b/internal/traffic/holder/holder.go
@@ -367,7 +367,7 @@
 
 func (h *Holder) logAnswer(now time.Time, c *conn, kind byte, text string) {
 	if skipped, ok := h.answerLines.Allow(now); ok {
-		h.Log.WithField("instance", c.server.name).WithField("message", string(rune(kind))).WithField("transaction", c.inTransaction).
+		h.Log.WithField("instance", c.server.name).WithField("message", string(rune(kind))).WithField("transaction", c.inTransaction()).
 			WithField("skipped", skipped).Warn(text)
 	}
 }
--- a/internal/traffic/holder/reply.go
+++ b/internal/traffic/holder/reply.go
@@ -53,9 +53,9 @@
 // server is ready for a query or, after a Flush, until all messages were answered or one has failed.
 func (w *Work) exchange(ctx context.Context, b *wire.Batch, sink Sink) (*reply, error) {
 	c := w.conn
-	r := &reply{inTransaction: c.inTransaction, unsynced: c.unsynced}
+	r := &reply{inTransaction: c.inTransaction(), unsynced: c.unsynced}
 	quiet := false
-	if c.inTransaction {
+	if c.inTransaction() {
 		r.buf, quiet = c.takeNotices(w.pool.h.Now())
 	} else {
 		quiet = c.quiet(w.pool.h.Now())
@@ -88,7 +88,7 @@
 			return r, err
 		}
 	}
-	c.inTransaction, c.unsynced, c.skipping = !r.ready || r.status != Idle, !r.ready, !r.ready && (c.skipping || x.failed)
+	c.unsynced, c.skipping = !r.ready, !r.ready && (c.skipping || x.failed)
 	if r.ready {
 		c.status = r.status
 	} else {
--- a/internal/traffic/holder/server.go
+++ b/internal/traffic/holder/server.go
@@ -58,9 +58,6 @@
 	adapt.ServerConn
 	r      *bufio.Reader
 	server *server
-	// inTransaction is set while a transaction is open or the server has not reported that it is
-	// ready for a query.
-	inTransaction bool
 	// unsynced is set while statements of the extended protocol were sent whose Sync was not: it commits them
 	// unless a transaction is open.
 	unsynced bool
@@ -227,6 +224,10 @@
 	return false
 }
 
+// inTransaction reports whether a transaction is open or the server has not reported that it is ready for a
+// query.
+func (c *conn) inTransaction() bool { return c.unsynced || c.status != Idle }
+
 // idle reports whether the connection is open and holds nothing unread.
 func (c *conn) idle() bool { return c.r.Buffered() == 0 && adapt.Idle(c.ServerConn.Conn) }
 
--- a/internal/traffic/lend/lend.go
+++ b/internal/traffic/lend/lend.go
@@ -175,7 +175,7 @@
 		}
 		handle, err := l.open(ctx, s.member, req)
 		if err != nil {
-			reply.Error = strings.ToValidUTF8(err.Error(), "\uFFFD")
+			reply.Error = errorText(err)
 			return reply
 		}
 		s.setHandle(handle)
@@ -297,7 +297,7 @@
 	reply.Stage = uint32(stage)
 	if err != nil {
 		s.handle.Close()
-		reply.Error, reply.Limited = strings.ToValidUTF8(err.Error(), "\uFFFD"), errors.Is(err, topo.ErrNoShare)
+		reply.Error, reply.Limited = errorText(err), errors.Is(err, topo.ErrNoShare)
 		return true
 	}
 	if a.Code == flow.Leaving {
@@ -315,6 +315,9 @@
 	return true
 }
 
+// errorText returns the text of an error as a reply may hold it: as valid UTF-8.
+func errorText(err error) string { return strings.ToValidUTF8(err.Error(), "\uFFFD") }
+
 // answerBytes returns the number of bytes that an answer takes until it is sent, as read and encoded.
 func answerBytes(a flow.Answer) int64 { return int64(2 * a.RowBytes()) }
 
