--- a/internal/traffic/entry/session__extended.go
+++ b/internal/traffic/entry/session__extended.go
@@ -114,7 +114,7 @@
 	var answer []byte
 	for len(data) > 0 {
 		n := messageLength(data)
-		part, err := eb.decodeMessage(data[0], data[headerSize:n])
+		part, err := eb.decodeMessage(data[0], data[adapt.HeaderBytes:n])
 		if err != nil {
 			return nil, err
 		}
--- a/internal/traffic/entry/session__traffic.go
+++ b/internal/traffic/entry/session__traffic.go
@@ -20,8 +20,6 @@
 	maxStartupBytes = 10000
 	// maxBatchBytes limits the size of a batch, which ends with Sync or Flush.
 	maxBatchBytes = adapt.MaxMessageBytes
-	// headerSize is the size of a message header in bytes: type and length.
-	headerSize = 5
 	// protocolMajorVersion is the supported major version of the PostgreSQL protocol.
 	protocolMajorVersion = 3
 
@@ -200,7 +198,7 @@
 // handleMessage handles one message of a started session. It returns the number of bytes
 // consumed, or zero while the message is incomplete.
 func (s *session) handleMessage(b []byte) (int, gnet.Action) {
-	if len(b) < headerSize {
+	if len(b) < adapt.HeaderBytes {
 		return 0, gnet.None
 	}
 	size, ok := adapt.MessageSize(b)
@@ -217,7 +215,7 @@
 	switch kind {
 	case 'Q': // Query
 		m := &pgproto3.Query{}
-		if m.Decode(b[headerSize:size]) != nil {
+		if m.Decode(b[adapt.HeaderBytes:size]) != nil {
 			s.startRequest(func() { s.replyError(malformedMessage("Query")) })
 			break
 		}
