--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Builds the stand-ins that the scripts of the second review start.
-cd "$(dirname "$0")/.." || exit 1
-exec go build -o target/review-2/ ./review/harness2
+cd "$(dirname "$0")/harness2" || exit 1
+exec go build -buildvcs=false -o ../../target/review-2/ .
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -26,6 +26,7 @@
 var cases = map[string]func(p *play) (held bool, err error){
 	"lost-commit":  playLostCommit,
 	"large-answer": playLargeAnswer,
+	"drain-answer": playDrainAnswer,
 }
 
 func main() { os.Exit(run()) }
--- a/review/harness2/server.go
+++ b/review/harness2/server.go
@@ -50,7 +50,9 @@
 	instances map[string]*instance
 	fence     uint64
 	proofs    int
-	closed    bool
+	// ran has the ids of the reads that an instance has run.
+	ran    map[string]bool
+	closed bool
 	// onPromote is called with the instance that has begun to lead. mu is held.
 	onPromote func(in *instance)
 }
@@ -79,7 +81,7 @@
 const maxConns = 30
 
 func newDatabase(p *play, name string, syncReplicas int) *database {
-	db := &database{play: p, name: name, sync: syncReplicas, delay: 20 * time.Millisecond, promotion: 600 * time.Millisecond, term: 1, instances: map[string]*instance{}}
+	db := &database{play: p, name: name, sync: syncReplicas, delay: 20 * time.Millisecond, promotion: 600 * time.Millisecond, term: 1, instances: map[string]*instance{}, ran: map[string]bool{}}
 	db.cond = sync.NewCond(&db.mu)
 	go db.replicate()
 	return db
@@ -477,7 +479,7 @@
 		s.order(verb, rest)
 		return true
 	case "READ":
-		s.read(rest)
+		s.read(id, rest)
 		return true
 	case "WRITE":
 		item, data, _ := strings.Cut(rest, " ")
@@ -490,7 +492,7 @@
 			return true
 		}
 		if strings.HasPrefix(shape, "READ") {
-			s.read(args)
+			s.read(id, args)
 			return true
 		}
 		item, data, _ := strings.Cut(args, " ")
@@ -534,7 +536,8 @@
 	}
 }
 
-func (s *session) read(item string) {
+func (s *session) read(id, item string) {
+	s.in.db.ran[id] = true
 	if item == "bulk" {
 		for _, row := range s.in.db.bulk {
 			s.line("ROW %s", row)
