leader: Log the logs of all instances with each choice of a primary

It now names each instance of the group, ended ones included, with the last position that it reported and the age of that report; so does a wait for a primary. No change of behaviour.

--- a/internal/control/leader/leader__platform.go
+++ b/internal/control/leader/leader__platform.go
@@ -68,7 +68,7 @@
 func (l *Leader) stepPlatformFailovers(ctx context.Context, now time.Time, s *state.State, groups []*wire.Resource) {
 	byGroup := map[string][]*wire.Resource{}
 	for _, r := range s.List(spec.Backends) {
-		if r.Backend != nil && r.Backend.Standing != wire.LifecycleState_GONE {
+		if r.Backend != nil {
 			byGroup[r.Backend.Group] = append(byGroup[r.Backend.Group], r)
 		}
 	}
@@ -94,6 +94,9 @@
 func (l *Leader) platformView(ctx context.Context, now time.Time, s *state.State, r *wire.Resource, instances []*wire.Resource) group.PlatformView {
 	v := group.PlatformView{Name: r.Name, State: r.Group, ControlHost: l.Host, RequiredCopies: l.declaredCopies(s)[r.Name], Statuses: l.statuses[r.Name]}
 	for _, in := range instances {
+		if in.Backend.Standing == wire.LifecycleState_GONE {
+			continue
+		}
 		c := group.Candidate{Name: in.Name, AnnouncedPrimary: in.Backend.Primary}
 		if in.Backend.Standing == wire.LifecycleState_DRAINING {
 			c.Draining, c.LeaveDeadline = true, l.Platform.LeaveDeadline(in.Name, in.Backend.Born)
@@ -194,8 +197,11 @@
 func (l *Leader) executePlatformAction(ctx context.Context, now time.Time, r *wire.Resource, instances []*wire.Resource, a group.Action) {
 	switch a := a.(type) {
 	case group.Propose:
-		l.Log.WithField("group", r.Name).WithField("term", r.Group.Term).WithField("phase", r.Group.Phase.String()).
-			WithField("change", a.Command.String()).Info("failover step")
+		entry := l.Log.WithField("group", r.Name).WithField("term", r.Group.Term).WithField("phase", r.Group.Phase.String()).WithField("change", a.Command.String())
+		if a.Command.GetChoose() != nil {
+			entry = entry.WithField("logs", describeLogs(now, instances, l.statuses[r.Name]))
+		}
+		entry.Info("failover step")
 		l.propose(ctx, "group "+r.Name, a.Command)
 	case group.QueryStatus:
 		if in, ok := findInstance(r.Name, a.Instance, instances); ok {
@@ -203,15 +209,30 @@
 		}
 	case group.Waiting:
 		l.Meter.AddCounter("failover.waits."+a.Reason, 1)
-		l.Log.WithField("group", r.Name).WithField("term", r.Group.Term).WithField("reason", a.Reason).Warn("no primary can be chosen yet")
+		l.Log.WithField("group", r.Name).WithField("term", r.Group.Term).WithField("reason", a.Reason).
+			WithField("logs", describeLogs(now, instances, l.statuses[r.Name])).Warn("no primary can be chosen yet")
 	case group.RequestPromotion:
 		l.requestPromotion(ctx, r.Name, a, instances)
 	}
 }
 
+// describeLogs returns what is known of the logs of a group's instances, by instance: whether it has ended,
+// the last position that it has reported, and how long ago that was.
+func describeLogs(now time.Time, instances []*wire.Resource, statuses map[string]group.InstanceStatus) map[string]string {
+	logs := map[string]string{}
+	for _, r := range instances {
+		text := r.Backend.Standing.String()
+		if status, ok := statuses[r.Name]; ok {
+			text += fmt.Sprintf(" %d.%d %s ago", status.Received.Term, status.Received.Number, now.Sub(status.QueriedAt).Round(time.Millisecond))
+		}
+		logs[r.Name] = text
+	}
+	return logs
+}
+
 func findInstance(name, instance string, instances []*wire.Resource) (Instance, bool) {
 	for _, r := range instances {
-		if r.Name == instance {
+		if r.Name == instance && r.Backend.Standing != wire.LifecycleState_GONE {
 			return Instance{Group: name, Name: instance, Addr: r.Backend.Addr}, true
 		}
 	}
