group: Wait for the log of a replica that has ended

Cause: an instance that has deregistered was no candidate, and the number of replicas that may alone have a commit was counted over the candidates.

Change: an ended instance counts as a replica that has not answered until the instance that takes over its address answers, the former primary is a replica, or its log is known to be copied. For that the leader compares the replicas, in the open term, with what the primary has once nothing listens any more at the address of the ended instance, or 2 s after it deregistered, and records the result in the replicated state, so that a new leader need not wait for it. Status queries carry the time of the step that asked, so that one of the open term is never taken for one of the sealed term.

--- a/internal/control/group/acked_model_test.go
+++ b/internal/control/group/acked_model_test.go
@@ -17,23 +17,55 @@
 	promotionDelay = 600 * time.Millisecond
 	// reconnectDelay is how long an instance that has restarted receives nothing yet.
 	reconnectDelay = 150 * time.Millisecond
+	// maxRunOn is how long an instance may run on after it has deregistered.
+	maxRunOn = time.Second
 )
 
-// copyLog is an instance of a copiesSimulation: a log of commits, of which each names its term.
+// copyLog is an address of a copiesSimulation with the instance that uses it, and its log of commits, of
+// which each names its term. A later instance at the address has the log of the one before it.
 type copyLog struct {
+	// name is the present instance, and earlier are those before it.
 	name     string
+	earlier  []string
 	log      []group.LogPosition
 	up       bool
 	startsAt time.Time
 	// cut is set while the leader does not reach it; deaf while it receives no commits.
 	cut, deaf bool
 	draining  bool
+	// ended is set once the instance has deregistered; it runs on until endsAt.
+	ended  bool
+	endsAt time.Time
+	// stoppedAt is when the leader last found that the address refuses connections.
+	stoppedAt time.Time
+	// copied is set once the leader has recorded that the log of the ended instance is copied.
+	copied bool
 	// held is the term given to stop receiving from primaries of lower terms.
 	held uint64
 }
 
 func (c *copyLog) end() group.LogPosition { return c.log[len(c.log)-1] }
 
+// restart starts an instance at the address: the one that has crashed, or the successor of one that has ended.
+func (s *copiesSimulation) restart(c *copyLog) {
+	c.up, c.cut, c.held, c.startsAt = true, false, 0, s.now
+	if !c.ended {
+		return
+	}
+	c.earlier = append(c.earlier, c.name)
+	former := c.name
+	c.name += "'"
+	if s.primary == former {
+		s.primary, s.steppedDown = c.name, true
+	}
+	c.ended, c.copied, c.draining, c.stoppedAt = false, false, false, time.Time{}
+}
+
+// withdraw lets the instance deregister and run on for a time.
+func (s *copiesSimulation) withdraw(c *copyLog, runOn time.Duration) {
+	c.ended, c.endsAt = true, s.now.Add(runOn)
+}
+
 // copiesSimulation is a group in virtual time whose writes are acknowledged once one replica has
 // received them. Hosts that have not heard of a seal go on committing at the platform's primary.
 type copiesSimulation struct {
@@ -61,7 +93,11 @@
 
 func newCopiesSimulation(stepDown bool, copies int) *copiesSimulation {
 	s := &copiesSimulation{platformSimulation: newPlatformSimulation(), stepDown: stepDown, copiesRequired: copies, discarded: map[group.LogPosition]bool{}}
-	for _, name := range []string{"a", "b", "p"} {
+	names := []string{"a", "b", "p"}
+	if copies > 1 {
+		names = append(names, "c")
+	}
+	for _, name := range names {
 		s.copies = append(s.copies, &copyLog{name: name, up: true, log: []group.LogPosition{{Term: 1, Number: 1}}})
 	}
 	s.state.Reign, s.state.Fork = 1, &wire.LogPosition{Term: 1, Number: 1}
@@ -69,7 +105,7 @@
 }
 
 func (s *copiesSimulation) find(name string) *copyLog {
-	i := slices.IndexFunc(s.copies, func(c *copyLog) bool { return c.name == name })
+	i := slices.IndexFunc(s.copies, func(c *copyLog) bool { return c.name == name || slices.Contains(c.earlier, name) })
 	return s.copies[i]
 }
 
@@ -81,9 +117,14 @@
 func (s *copiesSimulation) view() group.PlatformView {
 	v := group.PlatformView{Name: "g", State: s.state, ControlHost: "x", RequiredCopies: s.copiesRequired, SealInForce: true, Statuses: s.statuses, Promotion: s.promotions["x"][s.state.Fence]}
 	for _, c := range s.copies {
-		v.Candidates = append(v.Candidates, group.Candidate{
-			Name: c.name, AnnouncedPrimary: s.leads(c), Draining: c.draining, LeaveDeadline: startTime.Add(time.Hour),
-		})
+		switch {
+		case !c.ended:
+			v.Candidates = append(v.Candidates, group.Candidate{
+				Name: c.name, AnnouncedPrimary: s.leads(c), Draining: c.draining, LeaveDeadline: startTime.Add(time.Hour),
+			})
+		case !c.copied:
+			v.Ended = append(v.Ended, group.EndedInstance{Name: c.name, StoppedAt: c.stoppedAt})
+		}
 	}
 	p := s.find(s.state.Primary)
 	v.PrimaryFailed = s.state.Phase == wire.Phase_OPEN && !p.up
@@ -91,7 +132,7 @@
 }
 
 // commit appends a commit at the primary. Replicas that receive get all that they lack; it is
-// acknowledged if one has it.
+// acknowledged if as many as required have it.
 func (s *copiesSimulation) commit() {
 	p := s.find(s.primary)
 	if !s.leads(p) {
@@ -100,12 +141,15 @@
 	at := group.LogPosition{Term: s.primaryTerm, Number: p.end().Number + 1}
 	p.log = append(p.log, at)
 	s.replicate(p)
+	held := 0
 	for _, c := range s.copies {
 		if c != p && slices.Contains(c.log, at) {
-			s.acked = append(s.acked, at)
-			return
+			held++
 		}
 	}
+	if held >= s.copiesRequired {
+		s.acked = append(s.acked, at)
+	}
 }
 
 func (s *copiesSimulation) replicate(p *copyLog) {
@@ -119,6 +163,11 @@
 // step lets 20 ms pass: promotions have their effect, and the leader decides.
 func (s *copiesSimulation) step() {
 	s.now = s.now.Add(stepInterval)
+	for _, c := range s.copies {
+		if c.ended && !s.now.Before(c.endsAt) {
+			c.up = false
+		}
+	}
 	for len(s.orders) > 0 && !s.now.Before(s.orders[0].at) {
 		s.promoteNow(s.orders[0].promotionRequest)
 		s.orders = s.orders[1:]
@@ -133,7 +182,7 @@
 
 func (s *copiesSimulation) promoteNow(req promotionRequest) {
 	c := s.find(req.instance)
-	if req.token < s.highestToken || !c.up {
+	if req.token < s.highestToken || !c.up || c.name != req.instance {
 		return
 	}
 	if s.primary == req.instance && !s.steppedDown {
@@ -181,10 +230,14 @@
 		}
 	case group.QueryStatus:
 		s.answer(a)
+	case group.RecordCopied:
+		if c := s.find(a.Instance.Name); c.name == a.Instance.Name {
+			c.copied = true
+		}
 	case group.RequestPromotion:
 		c := s.find(a.Instance)
 		s.promotions["x"][a.FenceToken] = group.PromotionDeclined
-		if c.up && a.FenceToken >= s.highestToken {
+		if c.up && c.name == a.Instance && a.FenceToken >= s.highestToken {
 			s.highestToken = a.FenceToken
 			s.promotions["x"][a.FenceToken] = group.PromotionConfirmed
 			s.orders = append(s.orders, promotionOrder{promotionRequest{a.Instance, a.FenceToken}, s.now.Add(promotionDelay)})
@@ -200,9 +253,14 @@
 
 func (s *copiesSimulation) answer(q group.QueryStatus) {
 	c := s.find(q.Instance)
-	if !c.up || c.cut {
+	if c.cut || c.name != q.Instance {
+		return
+	}
+	if !c.up {
+		c.stoppedAt = s.now
 		return
 	}
+	c.stoppedAt = time.Time{}
 	switch {
 	case q.ResumeReplication:
 		c.held = 0
@@ -215,10 +273,14 @@
 }
 
 // TestPromotedInstanceHasEveryAcknowledgedWrite guards against acknowledged writes that the next primary
-// lacks (review cases 2 and 3): replicas are deaf, cut off from the leader, drain, crash and restart,
+// lacks (review cases 2, 3 and 6): replicas are deaf, cut off from the leader, drain, end, crash and restart,
 // promotions come late, the leader changes, and the former primary goes on committing all the while.
 func TestPromotedInstanceHasEveryAcknowledgedWrite(t *testing.T) {
-	playFailovers(t, 1, func(s *copiesSimulation) string { return s.lost })
+	for copies := 1; copies <= 2; copies++ {
+		t.Run(fmt.Sprint(copies), func(t *testing.T) {
+			playFailovers(t, copies, func(s *copiesSimulation) string { return s.lost })
+		})
+	}
 }
 
 // TestDiscardedEntriesAreNotPromoted guards against reads that have missed a commit which then comes
@@ -260,9 +322,13 @@
 			},
 			"crash": func(t *rapid.T) { instance.Draw(t, "instance").up = false },
 			"start": func(t *rapid.T) {
-				c := instance.Draw(t, "instance")
-				if !c.up {
-					c.up, c.cut, c.held, c.startsAt = true, false, 0, s.now
+				if c := instance.Draw(t, "instance"); !c.up {
+					s.restart(c)
+				}
+			},
+			"withdraw": func(t *rapid.T) {
+				if c := instance.Draw(t, "instance"); !c.ended {
+					s.withdraw(c, time.Duration(rapid.Int64Range(0, int64(maxRunOn)).Draw(t, "run on")))
 				}
 			},
 			"new leader": func(t *rapid.T) {
--- a/internal/control/group/platform_failover.go
+++ b/internal/control/group/platform_failover.go
@@ -58,6 +58,15 @@
 	AnnouncedPrimary bool
 }
 
+// EndedInstance is an instance that has ended, and whose log no other instance has taken over.
+type EndedInstance struct {
+	Name string
+	// Born is when it had started, in Unix milliseconds.
+	Born int64
+	// StoppedAt is when its address was last found to refuse connections. It is zero if that is not known.
+	StoppedAt time.Time
+}
+
 // PromotionState is the state of a request to the platform to promote the chosen instance.
 type PromotionState int
 
@@ -87,8 +96,10 @@
 	// RequiredCopies is the number of replicas that must have received a write before it is
 	// acknowledged; 0 for asynchronous replication.
 	RequiredCopies int
-	// Candidates are the instances that have not been removed.
+	// Candidates are the instances that have not ended.
 	Candidates []Candidate
+	// Ended are the ended instances whose logs are not known to be copied.
+	Ended []EndedInstance
 	// PrimaryFailed is set while most hosts that use the primary report it as failed.
 	PrimaryFailed bool
 	// SealInForce is set once no host reads from the primary of an earlier term.
@@ -162,6 +173,8 @@
 	handOvers         handOverPacer
 	// waitReported is the reason last reported for the wait for a primary.
 	waitReported string
+	// ended are the ended instances whose logs are being checked for copies, by name.
+	ended map[string]endedLog
 }
 
 // promotionRetryDelay is how long an instance whose promotion failed is not chosen again while
@@ -176,7 +189,7 @@
 	case wire.Phase_NONE:
 		return f.adoptPrimary(now, v)
 	case wire.Phase_OPEN:
-		return f.checkPrimary(now, v)
+		return append(f.checkPrimary(now, v), f.checkCopied(now, v)...)
 	case wire.Phase_SEALED:
 		return f.queryAndChoose(now, v)
 	case wire.Phase_CHOSEN:
--- a/internal/control/group/platform_failover__acked.go
+++ b/internal/control/group/platform_failover__acked.go
@@ -9,6 +9,11 @@
 //   - The former primary has become a replica. Nothing follows the end of its log.
 //   - So many replicas are held, that is, receive nothing, that the former primary can have nothing
 //     acknowledged any more. What was acknowledged is in the log of one of them.
+//
+// An instance that has ended receives nothing either, but its log may alone hold acknowledged writes. It
+// counts as a replica that has not answered until the instance that takes over its log answers, or until
+// the log is known to be copied (checkCopied). An instance that takes over an address has the log of the
+// one before it.
 
 // answered reports whether a status was queried since the seal came into force.
 func (f *PlatformFailover) answered(status InstanceStatus) bool {
@@ -71,13 +76,13 @@
 	return end, true
 }
 
-// enoughHeld reports whether fewer than RequiredCopies replicas may still receive writes from the former
-// primary. If that one is unknown, it may be any of those that have not answered.
+// enoughHeld reports whether fewer than RequiredCopies replicas may have received writes from the former
+// primary that no answer tells of. If that one is unknown, it may be any of those that have not answered.
 func (f *PlatformFailover) enoughHeld(v PlatformView, former string) bool {
 	free := 0
-	for _, c := range v.Candidates {
-		status := v.Statuses[c.Name]
-		if c.Name != former && (!f.answered(status) || status.Resumed) {
+	for _, name := range v.logs() {
+		status := v.Statuses[name]
+		if name != former && (!f.answered(status) || status.Resumed) {
 			free++
 		}
 	}
@@ -87,6 +92,18 @@
 	return free < v.RequiredCopies
 }
 
+// logs returns the instances whose logs may hold acknowledged writes.
+func (v PlatformView) logs() []string {
+	names := make([]string, 0, len(v.Candidates)+len(v.Ended))
+	for _, c := range v.Candidates {
+		names = append(names, c.Name)
+	}
+	for _, e := range v.Ended {
+		names = append(names, e.Name)
+	}
+	return names
+}
+
 // mayCatchUp reports whether replicas may still receive the end of the former primary's log, which is
 // final. They are not held meanwhile.
 func (f *PlatformFailover) mayCatchUp(now time.Time, v PlatformView) bool {
--- a/internal/control/group/platform_failover__wait.go
+++ b/internal/control/group/platform_failover__wait.go
@@ -9,6 +9,9 @@
 	// WaitForHold means that the former primary may still acknowledge writes that the next primary
 	// would lack.
 	WaitForHold = "unheld"
+	// WaitForEnded means that an instance that has ended may alone hold acknowledged writes, and that no
+	// instance which took over its log has answered.
+	WaitForEnded = "ended"
 	// WaitForWrites means that no instance that has answered holds all acknowledged writes, or that the
 	// one that does is about to end.
 	WaitForWrites = "behind"
@@ -38,7 +41,11 @@
 func (f *PlatformFailover) waitReason(now time.Time, v PlatformView) string {
 	ackedEnd, known := f.ackedEnd(v)
 	candidates := f.fallbackCandidates(now, v, LogPosition{})
+	present := v
+	present.Ended = nil
 	switch {
+	case !known && f.enoughHeld(present, f.formerPrimary(v)):
+		return WaitForEnded
 	case !known:
 		return WaitForHold
 	case len(candidates) == 0:
--- a/internal/control/leader/leader__platform.go
+++ b/internal/control/leader/leader__platform.go
@@ -35,6 +35,10 @@
 // too busy to report its status. The instance is alive; its log position is not known.
 var ErrInstanceOverloaded = errors.New("instance is overloaded and did not report its status")
 
+// ErrNotListening is returned by Platform.QueryStatus if the instance's address refuses connections, so that
+// no process listens there.
+var ErrNotListening = errors.New("instance does not listen")
+
 // Instance identifies an instance of a group and its address.
 type Instance struct {
 	Group string
@@ -47,7 +51,7 @@
 type Platform struct {
 	// QueryStatus asks an instance for its status. It also makes a replica stop or resume
 	// replication, or a primary step down, if the query says so. It returns ErrInstanceOverloaded if the instance answers
-	// without its status.
+	// without its status, and ErrNotListening if its address refuses connections.
 	QueryStatus func(ctx context.Context, in Instance, q group.QueryStatus) (group.InstanceStatus, error)
 	// Promote asks the platform to promote an instance under a fencing token. It returns
 	// ErrPromotionRefused if the platform refuses; after other errors the promotion may still
@@ -94,14 +98,14 @@
 func (l *Leader) platformView(ctx context.Context, now time.Time, s *state.State, r *wire.Resource, instances []*wire.Resource) group.PlatformView {
 	v := group.PlatformView{Name: r.Name, State: r.Group, ControlHost: l.Host, RequiredCopies: l.declaredCopies(s)[r.Name], Statuses: l.statuses[r.Name]}
 	for _, in := range instances {
-		if in.Backend.Standing == wire.LifecycleState_GONE {
-			continue
-		}
-		c := group.Candidate{Name: in.Name, AnnouncedPrimary: in.Backend.Primary}
-		if in.Backend.Standing == wire.LifecycleState_DRAINING {
-			c.Draining, c.LeaveDeadline = true, l.Platform.LeaveDeadline(in.Name, in.Backend.Born)
+		switch {
+		case in.Backend.Standing == wire.LifecycleState_GONE:
+			if v.RequiredCopies > 0 && !in.Backend.Copied && state.Successor(instances, in) == in {
+				v.Ended = append(v.Ended, group.EndedInstance{Name: in.Name, Born: in.Backend.Born, StoppedAt: l.stoppedAt[in.Name]})
+			}
+		default:
+			v.Candidates = append(v.Candidates, l.candidate(in))
 		}
-		v.Candidates = append(v.Candidates, c)
 	}
 	if promotion := l.promotions[r.Name]; promotion.fence == r.Group.Fence && promotion.fence != 0 {
 		v.Promotion = promotion.state
@@ -115,6 +119,15 @@
 	return v
 }
 
+// candidate returns what an instance that has not ended announces.
+func (l *Leader) candidate(in *wire.Resource) group.Candidate {
+	c := group.Candidate{Name: in.Name, AnnouncedPrimary: in.Backend.Primary}
+	if in.Backend.Standing == wire.LifecycleState_DRAINING {
+		c.Draining, c.LeaveDeadline = true, l.Platform.LeaveDeadline(in.Name, in.Backend.Born)
+	}
+	return c
+}
+
 // declaredCopies returns the number of copies that the manifest declares, by group, zeros left
 // out. The caller holds mu.
 func (l *Leader) declaredCopies(s *state.State) map[string]int {
@@ -205,12 +218,16 @@
 		l.propose(ctx, "group "+r.Name, a.Command)
 	case group.QueryStatus:
 		if in, ok := findInstance(r.Name, a.Instance, instances); ok {
-			l.queryStatus(ctx, in, a)
+			l.queryStatus(ctx, now, in, a)
 		}
 	case group.Waiting:
 		l.Meter.AddCounter("failover.waits."+a.Reason, 1)
 		l.Log.WithField("group", r.Name).WithField("term", r.Group.Term).WithField("reason", a.Reason).
 			WithField("logs", describeLogs(now, instances, l.statuses[r.Name])).Warn("no primary can be chosen yet")
+	case group.RecordCopied:
+		l.propose(ctx, "copied "+a.Instance.Name, &wire.Command{Body: &wire.Command_Withdraw{Withdraw: &wire.WithdrawInstance{
+			Name: a.Instance.Name, Born: a.Instance.Born, Copied: true,
+		}}})
 	case group.RequestPromotion:
 		l.requestPromotion(ctx, r.Name, a, instances)
 	}
@@ -232,7 +249,7 @@
 
 func findInstance(name, instance string, instances []*wire.Resource) (Instance, bool) {
 	for _, r := range instances {
-		if r.Name == instance && r.Backend.Standing != wire.LifecycleState_GONE {
+		if r.Name == instance {
 			return Instance{Group: name, Name: instance, Addr: r.Backend.Addr}, true
 		}
 	}
@@ -241,34 +258,41 @@
 
 // queryStatus asks an instance for its status in the background and stores the answer. The caller
 // holds mu.
-func (l *Leader) queryStatus(ctx context.Context, in Instance, query group.QueryStatus) {
+func (l *Leader) queryStatus(ctx context.Context, now time.Time, in Instance, query group.QueryStatus) {
 	term := l.term
 	l.background("ask "+in.Name, func() {
 		ctx, cancel := context.WithTimeout(ctx, statusQueryTimeout)
 		defer cancel()
-		queriedAt := l.Now()
 		status, err := l.Platform.QueryStatus(ctx, in, query)
 		if errors.Is(err, ErrInstanceOverloaded) {
-			l.recordAlive(term, in, queriedAt)
+			l.recordAlive(term, in, now)
 			return
 		}
 		if err != nil {
 			l.Log.WithError(err).WithField("instance", in.Name).Debug("status query failed")
-			return
 		}
-		status.QueriedAt, status.Resumed = queriedAt, query.ResumeReplication
+		status.QueriedAt, status.Resumed = now, query.ResumeReplication
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		if l.term != term {
-			return
-		}
-		if l.statuses[in.Group] == nil {
-			l.statuses[in.Group] = map[string]group.InstanceStatus{}
+		switch {
+		case l.term != term:
+		case errors.Is(err, ErrNotListening):
+			l.stoppedAt[in.Name] = l.Now()
+		case err == nil:
+			l.storeStatus(in, status)
 		}
-		l.statuses[in.Group][in.Name] = status
 	})
 }
 
+// storeStatus stores the latest status of an instance. The caller holds mu.
+func (l *Leader) storeStatus(in Instance, status group.InstanceStatus) {
+	delete(l.stoppedAt, in.Name)
+	if l.statuses[in.Group] == nil {
+		l.statuses[in.Group] = map[string]group.InstanceStatus{}
+	}
+	l.statuses[in.Group][in.Name] = status
+}
+
 // recordAlive records that an instance answered a status query, unless the quorum term has changed
 // since the query was sent. To a probe, an overloaded primary that answers is healthy.
 func (l *Leader) recordAlive(term uint64, in Instance, queriedAt time.Time) {
--- a/internal/control/leader/leader_test.go
+++ b/internal/control/leader/leader_test.go
@@ -29,7 +29,12 @@
 // startLeader runs a leader that is a quorum by itself, and returns it with the address of its
 // lease service.
 func startLeader(t *testing.T, ctx context.Context) (*leader.Leader, string) {
-	l, addr := startControlHost(t, ctx, 20*time.Millisecond)
+	return startLeaderOn(t, ctx, &leader.Platform{})
+}
+
+// startLeaderOn is like startLeader, with functions that talk to instances and the platform.
+func startLeaderOn(t *testing.T, ctx context.Context, platform *leader.Platform) (*leader.Leader, string) {
+	l, addr := startControlHost(t, ctx, 20*time.Millisecond, platform)
 	for end := time.Now().Add(10 * time.Second); !l.Driver.Status().Leading && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
@@ -38,7 +43,7 @@
 
 // startControlHost is like startLeader but does not wait until the host leads, which takes the
 // election timeout.
-func startControlHost(t *testing.T, ctx context.Context, electionTimeout time.Duration) (*leader.Leader, string) {
+func startControlHost(t *testing.T, ctx context.Context, electionTimeout time.Duration, platform *leader.Platform) (*leader.Leader, string) {
 	s, restored, err := store.Open(t.TempDir())
 	So(err, ShouldBeNil)
 	id, restored, err := driver.SeedBootstrap{Addr: "h:1", Seeds: []string{"h:1"}, FirstStart: true}.Initialize(s, restored)
@@ -48,7 +53,7 @@
 		Options: quorum.Options{ElectionTimeout: electionTimeout, HeartbeatInterval: 5 * time.Millisecond, Jitter: func(time.Duration) time.Duration { return 0 }},
 	}
 	So(d.Prepare(), ShouldBeNil)
-	l := &leader.Leader{Driver: d, Log: logs.Discard(), Meter: meter.New(), LeaseDuration: time.Second, Now: clock.Monotonic, Host: "core", Platform: &leader.Platform{}}
+	l := &leader.Leader{Driver: d, Log: logs.Discard(), Meter: meter.New(), LeaseDuration: time.Second, Now: clock.Monotonic, Host: "core", Platform: platform}
 	l.Prepare()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	So(err, ShouldBeNil)
@@ -71,7 +76,7 @@
 	Convey("A renewal that arrives before the first leader is known is answered by it", t, func() {
 		ctx, cancel := context.WithCancel(t.Context())
 		t.Cleanup(cancel)
-		_, addr := startControlHost(t, ctx, 100*time.Millisecond)
+		_, addr := startControlHost(t, ctx, 100*time.Millisecond, &leader.Platform{})
 		dialer := &link.Dialer{Host: "e"}
 		defer dialer.Close()
 		c, err := dialer.Open(ctx, addr, leader.LeaseService)
--- a/internal/control/state/declare_test.go
+++ b/internal/control/state/declare_test.go
@@ -91,6 +91,18 @@
 			So(s.Apply(4, announceCommand("a", "h:1", 100, 9, wire.LifecycleState_READY)).Ok, ShouldBeFalse)
 			So(s.Get(spec.Backends, "a").Backend.Standing, ShouldEqual, wire.LifecycleState_GONE)
 		})
+		Convey("A log that is recorded as copied stays so, until a later incarnation announces itself", func() {
+			copied := withdrawCommand("a", 100)
+			copied.GetWithdraw().Copied = true
+			s.Apply(3, withdrawCommand("a", 100))
+			So(s.Get(spec.Backends, "a").Backend.Copied, ShouldBeFalse)
+			So(s.Apply(4, copied).Ok, ShouldBeTrue)
+			So(s.Apply(5, withdrawCommand("a", 100)).Ok, ShouldBeTrue)
+			So(s.Get(spec.Backends, "a").Backend.Copied, ShouldBeTrue)
+			So(s.Apply(6, announceCommand("a", "h:1", 200, 1, wire.LifecycleState_READY)).Ok, ShouldBeTrue)
+			So(s.Get(spec.Backends, "a").Backend.Copied, ShouldBeFalse)
+			So(s.Apply(7, copied).Ok, ShouldBeFalse)
+		})
 		Convey("A later incarnation is accepted with any sequence number, and a withdrawal of an earlier one has no effect", func() {
 			So(s.Apply(3, announceCommand("a", "h:1", 200, 1, wire.LifecycleState_READY)).Ok, ShouldBeTrue)
 			So(s.Apply(4, withdrawCommand("a", 100)).Ok, ShouldBeFalse)
--- a/internal/control/state/state__declare.go
+++ b/internal/control/state/state__declare.go
@@ -65,8 +65,8 @@
 	return nil
 }
 
-// withdraw marks an instance as GONE. The resource is kept, so that a late announcement of the same
-// incarnation does not bring the instance back.
+// withdraw marks an instance as GONE, and its log as copied if the command says so. The resource is kept,
+// so that a late announcement of the same incarnation does not bring the instance back.
 func (s *State) withdraw(index uint64, w *wire.WithdrawInstance) *wire.Outcome {
 	existing := s.Get(spec.Backends, w.Name)
 	if existing == nil || existing.Backend == nil {
@@ -75,14 +75,26 @@
 	if w.Born != 0 && w.Born < existing.Backend.Born {
 		return rejection(fault.TooOld, "instance "+w.Name+" has started again")
 	}
-	if existing.Backend.Standing == wire.LifecycleState_GONE {
+	if existing.Backend.Standing == wire.LifecycleState_GONE && (existing.Backend.Copied || !w.Copied) {
 		return &wire.Outcome{Ok: true, Revision: existing.Revision, Resource: existing}
 	}
 	r := proto.Clone(existing).(*wire.Resource)
-	r.Backend.Standing = wire.LifecycleState_GONE
+	r.Backend.Standing, r.Backend.Copied = wire.LifecycleState_GONE, w.Copied
 	return s.storeResource(index, r)
 }
 
+// Successor returns the instance that has started last at the address of r, and so has its log. It is r itself
+// if none has started there since.
+func Successor(instances []*wire.Resource, r *wire.Resource) *wire.Resource {
+	latest := r
+	for _, other := range instances {
+		if other.Backend.Addr == r.Backend.Addr && other.Backend.Born > latest.Backend.Born {
+			latest = other
+		}
+	}
+	return latest
+}
+
 // adopt opens the first term of a group with the instance that is already its primary.
 func (s *State) adopt(index uint64, c *wire.AdoptPrimary) *wire.Outcome {
 	r, rejected := s.groupInTerm(c.Group, c.Term)
