group: Count each log once, whatever names its instances have had

Cause: an instance that has crashed comes back under another name at its address, with its log. The earlier name stayed a candidate that never answers, so that there were never enough answers, and the former primary was known by a name that nobody answers to.

Change: an instance at whose address another one has started since is no candidate (entry hosts had that rule already; it is state.Successor now, for both), and the former primary is the instance that has its log by now. If the chosen instance has ended, the choice begins anew at once, not after the 3 s of a promotion.

--- a/internal/control/group/acked_model_test.go
+++ b/internal/control/group/acked_model_test.go
@@ -46,17 +46,18 @@
 
 func (c *copyLog) end() group.LogPosition { return c.log[len(c.log)-1] }
 
-// restart starts an instance at the address: the one that has crashed, or the successor of one that has ended.
-func (s *copiesSimulation) restart(c *copyLog) {
+// restart starts an instance at the address, under another name if renamed is set.
+func (s *copiesSimulation) restart(c *copyLog, renamed bool) {
 	c.up, c.cut, c.held, c.startsAt = true, false, 0, s.now
-	if !c.ended {
+	if !renamed && !c.ended {
 		return
 	}
 	c.earlier = append(c.earlier, c.name)
 	former := c.name
 	c.name += "'"
 	if s.primary == former {
-		s.primary, s.steppedDown = c.name, true
+		// The successor of an instance that has ended does not lead; one that has crashed does.
+		s.primary, s.steppedDown = c.name, s.steppedDown || c.ended
 	}
 	c.ended, c.copied, c.draining, c.stoppedAt = false, false, false, time.Time{}
 }
@@ -127,6 +128,7 @@
 		}
 	}
 	p := s.find(s.state.Primary)
+	v.PrimaryLog = p.name
 	v.PrimaryFailed = s.state.Phase == wire.Phase_OPEN && !p.up
 	return v
 }
@@ -273,8 +275,9 @@
 }
 
 // TestPromotedInstanceHasEveryAcknowledgedWrite guards against acknowledged writes that the next primary
-// lacks (review cases 2, 3 and 6): replicas are deaf, cut off from the leader, drain, end, crash and restart,
-// promotions come late, the leader changes, and the former primary goes on committing all the while.
+// lacks (review cases 2, 3 and 6): replicas are deaf, cut off from the leader, drain, end, crash and come
+// back, also under another name, promotions come late, the leader changes, and the former primary goes on
+// committing all the while.
 func TestPromotedInstanceHasEveryAcknowledgedWrite(t *testing.T) {
 	for copies := 1; copies <= 2; copies++ {
 		t.Run(fmt.Sprint(copies), func(t *testing.T) {
@@ -323,7 +326,7 @@
 			"crash": func(t *rapid.T) { instance.Draw(t, "instance").up = false },
 			"start": func(t *rapid.T) {
 				if c := instance.Draw(t, "instance"); !c.up {
-					s.restart(c)
+					s.restart(c, rapid.Bool().Draw(t, "renamed"))
 				}
 			},
 			"withdraw": func(t *rapid.T) {
--- a/internal/control/group/ended_test.go
+++ b/internal/control/group/ended_test.go
@@ -31,7 +31,7 @@
 type endedScene struct {
 	// deaf is from when on replica b receives nothing.
 	deaf time.Duration
-	// crash is when p crashes, and returns when it is back.
+	// crash is when p crashes, and returns when it is back under another name.
 	crash, returns time.Duration
 	// successor is when another instance starts with the log of a.
 	successor time.Duration
@@ -50,9 +50,9 @@
 		do func()
 	}{
 		{0, func() { s.withdraw(a, 0) }},
-		{sc.successor, func() { s.restart(a) }},
+		{sc.successor, func() { s.restart(a, true) }},
 		{sc.crash, func() { p.up = false }},
-		{sc.returns, func() { s.restart(p) }},
+		{sc.returns, func() { s.restart(p, true) }},
 		{sc.deaf, func() { b.deaf = true }},
 		{sc.newLeader, func() { s.failovers["x"], s.statuses = newPlatformFailover(), map[string]group.InstanceStatus{} }},
 	}
@@ -130,6 +130,18 @@
 	})
 }
 
+// TestChoiceBeginsAnewWhenTheChosenInstanceEnds guards against a group that stays closed until a promotion
+// times out whose instance has ended.
+func TestChoiceBeginsAnewWhenTheChosenInstanceEnds(t *testing.T) {
+	Convey("A term ends whose chosen instance has ended", t, func() {
+		f, v := newPlatformFailover(), openView()
+		v.State, v.Promotion = stateAfterChoice("a"), group.PromotionConfirmed
+		So(sealReason(f.Step(startTime, v)), ShouldBeEmpty)
+		v.Candidates = v.Candidates[1:]
+		So(sealReason(f.Step(startTime.Add(time.Second), v)), ShouldEqual, group.ReasonPromotionRefused)
+	})
+}
+
 // TestLogIsCopiedOnlyAfterItsInstanceStopped guards against a log that is taken to be copied while its
 // instance, which has deregistered, may still receive writes and so have them acknowledged.
 func TestLogIsCopiedOnlyAfterItsInstanceStopped(t *testing.T) {
@@ -178,3 +190,40 @@
 		})
 	})
 }
+
+// TestInstancesThatCameBackAreNotWaitedFor guards against a group that stays closed for good although all its
+// instances answer, because some of them were known by other names before they crashed.
+func TestInstancesThatCameBackAreNotWaitedFor(t *testing.T) {
+	Convey("Given a group whose replicas have crashed and come back under other names", t, func() {
+		s := newCopiesSimulation(true, 1)
+		run := func(d time.Duration) {
+			for end := s.now.Add(d); s.now.Before(end); {
+				s.step()
+				s.commit()
+			}
+		}
+		for _, name := range []string{"a", "b"} {
+			s.find(name).up = false
+			run(time.Second)
+			s.restart(s.find(name), true)
+			run(time.Second)
+		}
+		Convey("When the primary is lost, one of them replaces it", func() {
+			s.find("p").up = false
+			run(failoverTime)
+			So(s.state.Phase, ShouldEqual, wire.Phase_OPEN)
+			So(s.state.Primary, ShouldBeIn, "a'", "b'")
+		})
+		Convey("When the primary comes back likewise and is a replica by then, there is a primary again", func() {
+			s.find("p").up = false
+			s.find("a").up, s.find("b").up = false, false
+			run(time.Second)
+			for _, name := range []string{"p", "a", "b"} {
+				s.restart(s.find(name), true)
+			}
+			run(2 * failoverTime)
+			So(s.state.Phase, ShouldEqual, wire.Phase_OPEN)
+		})
+		So(s.lost, ShouldBeEmpty)
+	})
+}
--- a/internal/control/group/platform_failover.go
+++ b/internal/control/group/platform_failover.go
@@ -100,6 +100,9 @@
 	Candidates []Candidate
 	// Ended are the ended instances whose logs are not known to be copied.
 	Ended []EndedInstance
+	// PrimaryLog is the instance that has the log of State.Primary by now: the latest one at its address.
+	// If empty, it is State.Primary itself.
+	PrimaryLog string
 	// PrimaryFailed is set while most hosts that use the primary report it as failed.
 	PrimaryFailed bool
 	// SealInForce is set once no host reads from the primary of an earlier term.
@@ -326,8 +329,11 @@
 // from then on the platform refuses every earlier request, however late it arrives.
 //
 // A choice of another control host, and a request without an answer, are proposed again to get a
-// new fencing token.
+// new fencing token. If the chosen instance has ended, the choice begins anew.
 func (f *PlatformFailover) promote(now time.Time, v PlatformView) []Action {
+	if _, known := v.candidate(v.State.Primary); !known {
+		return f.seal(now, v, ReasonPromotionRefused)
+	}
 	if v.State.Chooser != v.ControlHost {
 		return f.proposeChoice(now, v, v.State.Primary)
 	}
--- a/internal/control/group/platform_failover__acked.go
+++ b/internal/control/group/platform_failover__acked.go
@@ -6,7 +6,8 @@
 // received it. The next primary must hold all of these writes, and none may be acknowledged after it
 // was chosen. That is known in two cases:
 //
-//   - The former primary has become a replica. Nothing follows the end of its log.
+//   - The former primary has become a replica, or another instance has taken over its log. Nothing
+//     follows the end of that log.
 //   - So many replicas are held, that is, receive nothing, that the former primary can have nothing
 //     acknowledged any more. What was acknowledged is in the log of one of them.
 //
@@ -20,9 +21,17 @@
 	return !status.QueriedAt.IsZero() && !status.QueriedAt.Before(f.sealInForceAt)
 }
 
+// primaryLog returns the instance that has the log of the primary of the term that was ended last.
+func (v PlatformView) primaryLog() string {
+	if v.PrimaryLog != "" {
+		return v.PrimaryLog
+	}
+	return v.State.GetPrimary()
+}
+
 // formerPrimary returns the instance that may still act as the primary although its term was ended: one
-// that says so, or else the primary of that term. It returns "" if it is not known: the platform has
-// refused to promote the instance that was chosen last.
+// that says so, or else the one with the log of the primary of that term. It returns "" if it is not known:
+// the platform has refused to promote the instance that was chosen last.
 func (f *PlatformFailover) formerPrimary(v PlatformView) string {
 	former, highest := "", uint64(0)
 	for _, c := range v.Candidates {
@@ -32,7 +41,7 @@
 		}
 	}
 	if former == "" && v.State.Reason != ReasonPromotionRefused {
-		return v.State.Primary
+		return v.primaryLog()
 	}
 	return former
 }
--- a/internal/control/group/platform_failover__choose.go
+++ b/internal/control/group/platform_failover__choose.go
@@ -108,7 +108,7 @@
 	former := f.formerPrimary(v)
 	status := v.Statuses[former]
 	waited := now.Sub(f.sealInForceAt)
-	if former != v.State.Primary || !f.answered(status) || !v.hasLog(status) || v.formerLeaves(now) || waited < f.Options.CatchUpTimeout {
+	if former != v.primaryLog() || !f.answered(status) || !v.hasLog(status) || v.formerLeaves(now) || waited < f.Options.CatchUpTimeout {
 		return "", false
 	}
 	return former, true
--- a/internal/control/group/platform_failover__leaving.go
+++ b/internal/control/group/platform_failover__leaving.go
@@ -9,10 +9,10 @@
 // leavesBefore reports whether the instance is draining and gets no new requests at a time.
 func (c Candidate) leavesBefore(at time.Time) bool { return c.Draining && !at.Before(c.LeaveDeadline) }
 
-// formerLeaves reports whether the former primary of a sealed term is gone, or leaves too soon to be
-// chosen again.
+// formerLeaves reports whether the former primary of a sealed term, or the instance that has its log by
+// now, is gone, or leaves too soon to be chosen.
 func (v PlatformView) formerLeaves(now time.Time) bool {
-	former, known := v.candidate(v.State.Primary)
+	former, known := v.candidate(v.primaryLog())
 	return !known || former.leavesBefore(now.Add(minLeavingTerm))
 }
 
--- a/internal/control/leader/ended_test.go
+++ b/internal/control/leader/ended_test.go
@@ -73,51 +73,95 @@
 	return f.primary
 }
 
+// copiedGroup is a group with a primary p and replicas a and b, whose writes require a copy.
+type copiedGroup struct {
+	*fakeInstances
+	ctx    context.Context
+	leader *leader.Leader
+}
+
+// startCopiedGroup starts a leader and declares the group. It returns once the group has a primary.
+func startCopiedGroup(t *testing.T) *copiedGroup {
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	f := &fakeInstances{numbers: map[string]uint64{"p": 9, "a": 9, "b": 9}, primary: "p", term: 1}
+	l, _ := startLeaderOn(t, ctx, f.platform())
+	g := &copiedGroup{fakeInstances: f, ctx: ctx, leader: l}
+	m := spec.Manifest{Number: 1, Groups: []spec.ManifestGroup{{Name: "g", SyncReplicas: 1}}}
+	g.propose(&wire.Command{Body: &wire.Command_Declare{Declare: &wire.DeclareManifest{Number: 1, Spec: m.Encode(), Source: []byte("s")}}})
+	g.announce("p", "h:1", 1)
+	g.announce("a", "h:2", 1)
+	g.announce("b", "h:3", 1)
+	g.await(wire.Phase_OPEN)
+	return g
+}
+
+func (g *copiedGroup) propose(cmd *wire.Command) {
+	out, err := g.leader.Driver.Propose(g.ctx, cmd)
+	So(err, ShouldBeNil)
+	So(out.Ok, ShouldBeTrue)
+}
+
+// announce lets an instance announce itself at an address.
+func (g *copiedGroup) announce(name, addr string, born int64) {
+	run := &wire.BackendState{Group: "g", Addr: addr, Instance: name, Born: born, Seq: 1, Primary: name == g.promoted(), Slots: 1}
+	g.propose(&wire.Command{Body: &wire.Command_Announce{Announce: &wire.AnnounceInstance{Name: name, Run: run}}})
+}
+
+// await waits until the term of the group is in a phase.
+func (g *copiedGroup) await(want wire.Phase) {
+	phase := func() (phase wire.Phase) {
+		g.leader.Driver.View(func(s *state.State) { phase = s.Get(spec.Groups, "g").GetGroup().GetPhase() })
+		return phase
+	}
+	for end := time.Now().Add(10 * time.Second); phase() != want && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	So(phase(), ShouldEqual, want)
+}
+
 // TestLogOfEndedReplicaIsWaitedFor guards against the promotion of a replica that lacks acknowledged writes,
 // because the only other one that had received them has ended (review case 6).
 func TestLogOfEndedReplicaIsWaitedFor(t *testing.T) {
-	Convey("Given a group that requires a copy of each write, and a replica that has all of them and ends", t, func() {
-		ctx, cancel := context.WithCancel(t.Context())
-		t.Cleanup(cancel)
-		f := &fakeInstances{numbers: map[string]uint64{"p": 9, "a": 9, "b": 5}, primary: "p", term: 1}
-		l, _ := startLeaderOn(t, ctx, f.platform())
-		propose := func(cmd *wire.Command) {
-			out, err := l.Driver.Propose(ctx, cmd)
-			So(err, ShouldBeNil)
-			So(out.Ok, ShouldBeTrue)
-		}
-		announce := func(name, addr string, born int64) {
-			run := &wire.BackendState{Group: "g", Addr: addr, Instance: name, Born: born, Seq: 1, Primary: name == f.promoted(), Slots: 1}
-			propose(&wire.Command{Body: &wire.Command_Announce{Announce: &wire.AnnounceInstance{Name: name, Run: run}}})
-		}
-		phase := func() (phase wire.Phase) {
-			l.Driver.View(func(s *state.State) { phase = s.Get(spec.Groups, "g").GetGroup().GetPhase() })
-			return phase
-		}
-		await := func(want wire.Phase) {
-			for end := time.Now().Add(10 * time.Second); phase() != want && time.Now().Before(end); {
-				time.Sleep(time.Millisecond)
-			}
-			So(phase(), ShouldEqual, want)
-		}
-		m := spec.Manifest{Number: 1, Groups: []spec.ManifestGroup{{Name: "g", SyncReplicas: 1}}}
-		propose(&wire.Command{Body: &wire.Command_Declare{Declare: &wire.DeclareManifest{Number: 1, Spec: m.Encode(), Source: []byte("s")}}})
-		announce("p", "h:1", 1)
-		announce("a", "h:2", 1)
-		announce("b", "h:3", 1)
-		await(wire.Phase_OPEN)
-		f.stop("a")
-		propose(&wire.Command{Body: &wire.Command_Withdraw{Withdraw: &wire.WithdrawInstance{Name: "a", Born: 1}}})
-		f.stop("p")
-		await(wire.Phase_SEALED)
-
-		Convey("When the primary crashes, the other replica is not promoted, but the one that takes over the log", func() {
+	Convey("Given a replica that lacks the last writes, one that had them and has ended, and a failed primary", t, func() {
+		g := startCopiedGroup(t)
+		g.set("b", 5)
+		g.stop("a")
+		g.propose(&wire.Command{Body: &wire.Command_Withdraw{Withdraw: &wire.WithdrawInstance{Name: "a", Born: 1}}})
+		g.stop("p")
+		g.await(wire.Phase_SEALED)
+		Convey("The replica is not promoted, but the instance that takes over the log of the ended one", func() {
 			time.Sleep(group.DefaultPlatformOptions().CatchUpTimeout)
-			So(f.promoted(), ShouldEqual, "p")
-			f.set("c", 9)
-			announce("c", "h:2", 2)
-			await(wire.Phase_OPEN)
-			So(f.promoted(), ShouldEqual, "c")
+			So(g.promoted(), ShouldEqual, "p")
+			g.set("c", 9)
+			g.announce("c", "h:2", 2)
+			g.await(wire.Phase_OPEN)
+			So(g.promoted(), ShouldEqual, "c")
+		})
+		Convey("If the primary comes back under another name, it is promoted again", func() {
+			g.set("q", 9)
+			g.announce("q", "h:1", 2)
+			g.await(wire.Phase_OPEN)
+			So(g.promoted(), ShouldEqual, "q")
 		})
 	})
 }
+
+// TestEarlierNamesAreNotWaitedFor guards against a group that stays closed for good although its instances
+// answer, because they had other names before they crashed.
+func TestEarlierNamesAreNotWaitedFor(t *testing.T) {
+	Convey("Given replicas that have crashed and come back under other names, and a primary that crashes", t, func() {
+		g := startCopiedGroup(t)
+		for name, addr := range map[string]string{"a": "h:2", "b": "h:3"} {
+			g.stop(name)
+			g.set(name+"2", 9)
+			g.announce(name+"2", addr, 2)
+		}
+		g.stop("p")
+		for end := time.Now().Add(10 * time.Second); g.promoted() == "p" && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		So(g.promoted(), ShouldBeIn, "a2", "b2")
+		g.await(wire.Phase_OPEN)
+	})
+}
--- a/internal/control/leader/leader__platform.go
+++ b/internal/control/leader/leader__platform.go
@@ -98,9 +98,14 @@
 func (l *Leader) platformView(ctx context.Context, now time.Time, s *state.State, r *wire.Resource, instances []*wire.Resource) group.PlatformView {
 	v := group.PlatformView{Name: r.Name, State: r.Group, ControlHost: l.Host, RequiredCopies: l.declaredCopies(s)[r.Name], Statuses: l.statuses[r.Name]}
 	for _, in := range instances {
+		successor := state.Successor(instances, in)
+		if in.Name == r.Group.Primary {
+			v.PrimaryLog = successor.Name
+		}
 		switch {
+		case successor != in:
 		case in.Backend.Standing == wire.LifecycleState_GONE:
-			if v.RequiredCopies > 0 && !in.Backend.Copied && state.Successor(instances, in) == in {
+			if v.RequiredCopies > 0 && !in.Backend.Copied {
 				v.Ended = append(v.Ended, group.EndedInstance{Name: in.Name, Born: in.Backend.Born, StoppedAt: l.stoppedAt[in.Name]})
 			}
 		default:
--- a/internal/traffic/topo/topology.go
+++ b/internal/traffic/topo/topology.go
@@ -18,6 +18,7 @@
 	"github.com/agatespindle/agatespindle/internal/control/place"
 	"github.com/agatespindle/agatespindle/internal/control/share"
 	"github.com/agatespindle/agatespindle/internal/control/spec"
+	"github.com/agatespindle/agatespindle/internal/control/state"
 	"github.com/agatespindle/agatespindle/internal/traffic/even"
 	"github.com/agatespindle/agatespindle/internal/traffic/pool"
 	"github.com/agatespindle/agatespindle/internal/traffic/route"
@@ -350,10 +351,10 @@
 }
 
 func (t *Topology) buildGroup(v *agent.View, declared spec.ManifestGroup, hosts []place.Lender, seen map[string]bool) *Group {
-	state := v.Get(spec.Groups, declared.Name).GetGroup()
+	gs := v.Get(spec.Groups, declared.Name).GetGroup()
 	g := &Group{
-		Name: declared.Name, Term: state.GetTerm(), Open: state.GetPhase() == wire.Phase_OPEN, Primary: state.GetPrimary(),
-		PrimaryTerm: state.GetReign(), Fork: token.Position{Term: state.GetFork().GetTerm(), Position: state.GetFork().GetNumber()},
+		Name: declared.Name, Term: gs.GetTerm(), Open: gs.GetPhase() == wire.Phase_OPEN, Primary: gs.GetPrimary(),
+		PrimaryTerm: gs.GetReign(), Fork: token.Position{Term: gs.GetFork().GetTerm(), Position: gs.GetFork().GetNumber()},
 	}
 	if t.positions[declared.Name] == nil {
 		t.positions[declared.Name] = &positionCache{history: route.PositionHistory{Retention: positionRetention}}
@@ -361,7 +362,7 @@
 	g.positions = t.positions[declared.Name]
 	for _, r := range v.Instances(declared.Name) {
 		backend := r.Backend
-		if backend.Standing == wire.LifecycleState_GONE || superseded(v.Instances(declared.Name), r) {
+		if backend.Standing == wire.LifecycleState_GONE || state.Successor(v.Instances(declared.Name), r) != r {
 			continue
 		}
 		m := t.ensureMember(r)
@@ -386,13 +387,6 @@
 	return pool.ConnShare(connectionLimit, countEntryHosts(hosts))
 }
 
-// superseded reports whether an instance that started later uses the address of r.
-func superseded(list []*wire.Resource, r *wire.Resource) bool {
-	return slices.ContainsFunc(list, func(other *wire.Resource) bool {
-		return other.Backend.Addr == r.Backend.Addr && other.Backend.Born > r.Backend.Born
-	})
-}
-
 // ensureMember returns the member for an instance. It keeps the connection pool unless the instance
 // has restarted or changed its address.
 func (t *Topology) ensureMember(r *wire.Resource) *Member {
