group: Give up logs that never return after two minutes of answers

What callers saw, by reading and by the model: with required copies, a group whose primary and one replica were both lost for good got no primary ever again, as their logs may alone hold acknowledged writes.

Change: once other instances have answered for LostLogTimeout without a break, logs that are neither reported nor copied are taken to be lost. The choice is then logged as an error with the logs of all instances and counted (failover.incomplete). The time counts from when an instance answers, not from the seal: after an hour's outage of all, the first one to come back is not promoted before the others have had their time.

Failed before: the third part of TestCopiedLogIsNotWaitedFor and the second of TestFirstInstanceAfterAnOutageIsNotPromoted (no primary); the first part of the latter fails where the time counts from the seal.

--- a/internal/control/group/ended_test.go
+++ b/internal/control/group/ended_test.go
@@ -88,6 +88,7 @@
 			sc.until = sc.crash + 12*time.Second
 			s, closed := sc.play()
 			So(s.lost, ShouldBeEmpty)
+			So(s.gaveUp, ShouldBeFalse)
 			return s, closed
 		}
 		for crash := time.Duration(0); crash < 6*time.Second; crash += 100 * time.Millisecond {
@@ -121,12 +122,56 @@
 			So(s.find("a").copied, ShouldBeTrue)
 			So(closed, ShouldBeLessThanOrEqualTo, failoverTime)
 			So(s.lost, ShouldBeEmpty)
+			So(s.gaveUp, ShouldBeFalse)
 		})
 		Convey("At once, also by a new leader", func() {
 			sc.newLeader = sc.crash + stepInterval
 			_, closed := sc.play()
 			So(closed, ShouldBeLessThanOrEqualTo, failoverTime)
 		})
+		Convey("After LostLogTimeout, where that is not known, and this is reported", func() {
+			sc.crash, sc.until = 0, 3*time.Minute
+			s, closed := sc.play()
+			So(s.gaveUp, ShouldBeTrue)
+			So(closed, ShouldBeBetweenOrEqual, group.DefaultPlatformOptions().LostLogTimeout, group.DefaultPlatformOptions().LostLogTimeout+failoverTime)
+		})
+	})
+}
+
+// TestFirstInstanceAfterAnOutageIsNotPromoted guards against acknowledged writes that are given up because all
+// instances were down for long, and the one that comes back first lacks them.
+func TestFirstInstanceAfterAnOutageIsNotPromoted(t *testing.T) {
+	Convey("Given a group all of whose instances were down for an hour", t, func() {
+		s := newCopiesSimulation(true, 1)
+		run := func(d time.Duration) {
+			for end := s.now.Add(d); s.now.Before(end); {
+				s.step()
+			}
+		}
+		run(time.Second)
+		s.find("b").deaf = true
+		s.commit()
+		for _, c := range s.copies {
+			c.up = false
+		}
+		run(time.Hour)
+		Convey("A replica that lacks the last write and comes back first is not promoted before the others", func() {
+			s.restart(s.find("b"), true)
+			run(time.Minute)
+			So(s.serves(), ShouldBeFalse)
+			s.restart(s.find("a"), true)
+			run(failoverTime)
+			So(s.state.Primary, ShouldEqual, "a'")
+			So(s.serves(), ShouldBeTrue)
+			So(s.lost, ShouldBeEmpty)
+			So(s.gaveUp, ShouldBeFalse)
+		})
+		Convey("It is promoted if the others do not come back", func() {
+			s.restart(s.find("b"), true)
+			run(group.DefaultPlatformOptions().LostLogTimeout + failoverTime)
+			So(s.serves(), ShouldBeTrue)
+			So(s.gaveUp, ShouldBeTrue)
+		})
 	})
 }
 
--- a/internal/control/group/platform_failover.go
+++ b/internal/control/group/platform_failover.go
@@ -122,6 +122,9 @@
 	// CatchUpTimeout is how long the choice waits for the best candidate to receive the whole log
 	// of the former primary, in a planned failover or if writes require copies.
 	CatchUpTimeout time.Duration
+	// LostLogTimeout is how long the choice waits for logs that may alone hold acknowledged writes while
+	// other instances answer. Servers restart and are replaced within it.
+	LostLogTimeout time.Duration
 	// PromotionTimeout is how long an instance may take to become the primary after the choice.
 	PromotionTimeout time.Duration
 	// ProposalInterval is the minimum interval between two proposals in the same phase.
@@ -132,7 +135,7 @@
 func DefaultPlatformOptions() PlatformOptions {
 	return PlatformOptions{
 		QueryInterval: 60 * time.Millisecond, AnswerTimeout: 250 * time.Millisecond, CatchUpTimeout: 1500 * time.Millisecond,
-		PromotionTimeout: 3 * time.Second, ProposalInterval: 400 * time.Millisecond,
+		LostLogTimeout: 2 * time.Minute, PromotionTimeout: 3 * time.Second, ProposalInterval: 400 * time.Millisecond,
 	}
 }
 
@@ -176,6 +179,8 @@
 	handOvers         handOverPacer
 	// waitReported is the reason last reported for the wait for a primary.
 	waitReported string
+	// answeringSince is the time since which instances have answered without a break in a sealed term.
+	answeringSince time.Time
 	// ended are the ended instances whose logs are being checked for copies, by name.
 	ended map[string]endedLog
 }
@@ -218,6 +223,7 @@
 	f.lastProposed = time.Time{}
 	f.sealInForceAt = time.Time{}
 	f.waitReported = ""
+	f.answeringSince = time.Time{}
 }
 
 // propose returns a proposal unless one was made within the proposal interval.
--- a/internal/control/group/platform_failover__acked.go
+++ b/internal/control/group/platform_failover__acked.go
@@ -1,6 +1,13 @@
 package group
 
-import "time"
+import (
+	"slices"
+	"time"
+)
+
+// maxAnswerGap is the longest time between two answers that count as answering without a break. An instance
+// is queried every QueryInterval.
+const maxAnswerGap = 2 * time.Second
 
 // In a group whose writes require copies, a write is acknowledged once RequiredCopies replicas have
 // received it. The next primary must hold all of these writes, and none may be acknowledged after it
@@ -15,6 +22,9 @@
 // counts as a replica that has not answered until the instance that takes over its log answers, or until
 // the log is known to be copied (checkCopied). An instance that takes over an address has the log of the
 // one before it.
+//
+// Logs that are neither reported nor copied are waited for until other instances have answered for
+// LostLogTimeout. Then they are taken to be lost: an incomplete log is better than a group without a primary.
 
 // answered reports whether a status was queried since the seal came into force.
 func (f *PlatformFailover) answered(status InstanceStatus) bool {
@@ -59,6 +69,30 @@
 	return former != "" && f.answered(status) && !status.Primary && v.hasLog(status)
 }
 
+// requiredEnd returns the log position that the next primary must have received: the one of ackedEnd, or
+// any once the logs that could tell it are taken to be lost.
+func (f *PlatformFailover) requiredEnd(now time.Time, v PlatformView) (LogPosition, bool) {
+	if !f.answeringSince.IsZero() && now.Sub(f.answeringSince) >= f.Options.LostLogTimeout {
+		return LogPosition{}, true
+	}
+	return f.ackedEnd(v)
+}
+
+// trackAnswers records since when instances have answered. Without it, the first one to come back after all
+// were down for long would be promoted without the others.
+func (f *PlatformFailover) trackAnswers(now time.Time, v PlatformView) {
+	answering := slices.ContainsFunc(v.Candidates, func(c Candidate) bool {
+		status := v.Statuses[c.Name]
+		return f.answered(status) && now.Sub(status.QueriedAt) < maxAnswerGap
+	})
+	switch {
+	case !answering:
+		f.answeringSince = time.Time{}
+	case f.answeringSince.IsZero():
+		f.answeringSince = now
+	}
+}
+
 // ackedEnd returns a log position that the next primary must have received in order to hold every
 // acknowledged write. It reports false if none is known, or if further writes may be acknowledged.
 // Reports of instances that are gone by now count too.
@@ -85,6 +119,12 @@
 	return end, true
 }
 
+// holdsAcked reports whether an instance is known to hold every acknowledged write.
+func (f *PlatformFailover) holdsAcked(v PlatformView, name string) bool {
+	end, known := f.ackedEnd(v)
+	return known && !v.Statuses[name].Received.Before(end)
+}
+
 // enoughHeld reports whether fewer than RequiredCopies replicas may have received writes from the former
 // primary that no answer tells of. If that one is unknown, it may be any of those that have not answered.
 func (f *PlatformFailover) enoughHeld(v PlatformView, former string) bool {
--- a/internal/control/group/platform_failover__choose.go
+++ b/internal/control/group/platform_failover__choose.go
@@ -21,13 +21,24 @@
 	if v.RequiredCopies > 0 {
 		actions = f.holdInstances(now, v, actions)
 	}
+	f.trackAnswers(now, v)
 	name, ok := f.pickPrimary(now, v)
 	if !ok {
 		return append(actions, f.reportWait(now, v)...)
 	}
-	return append(actions, f.proposeChoice(now, v, name)...)
+	proposal := f.proposeChoice(now, v, name)
+	if len(proposal) > 0 && name != f.formerPrimary(v) && !f.holdsAcked(v, name) {
+		actions = append(actions, IncompleteChoice{name})
+	}
+	return append(actions, proposal...)
 }
 
+// IncompleteChoice reports that the instance chosen may lack acknowledged writes: the logs that may alone
+// hold them are taken to be lost.
+type IncompleteChoice struct{ Instance string }
+
+func (IncompleteChoice) action() {}
+
 // proposeChoice proposes an instance as the primary. The index of the choice in the log is the new
 // fencing token of its promotion.
 func (f *PlatformFailover) proposeChoice(now time.Time, v PlatformView, name string) []Action {
@@ -79,11 +90,11 @@
 // to receive the whole log of the former primary (CatchUpTimeout). If writes require copies and no
 // instance catches up in time, it returns the former primary again, unless that one leaves.
 func (f *PlatformFailover) pickPrimary(now time.Time, v PlatformView) (string, bool) {
-	ackedEnd, known := f.ackedEnd(v)
+	requiredEnd, known := f.requiredEnd(now, v)
 	if !known {
 		return f.pickFormer(now, v)
 	}
-	a := f.readAnswers(now, v, ackedEnd)
+	a := f.readAnswers(now, v, requiredEnd)
 	waited := now.Sub(f.sealInForceAt)
 	lacksEnd := a.best != "" && v.Statuses[a.best].Received.Before(a.formerEnd)
 	if lacksEnd && v.RequiredCopies > 0 && waited >= f.Options.CatchUpTimeout && !v.formerLeaves(now) {
@@ -95,7 +106,7 @@
 	case a.best == "" && a.behind && f.mayCatchUp(now, v):
 		return "", false
 	case a.best == "":
-		return f.pickFallback(now, v, ackedEnd, a.complete || waited >= 2*f.Options.AnswerTimeout)
+		return f.pickFallback(now, v, requiredEnd, a.complete || waited >= 2*f.Options.AnswerTimeout)
 	case lacksEnd && (v.State.Reason == ReasonPrimaryDraining || v.RequiredCopies > 0) && waited < f.Options.CatchUpTimeout:
 		return "", false
 	}
--- a/internal/control/group/platform_failover__wait.go
+++ b/internal/control/group/platform_failover__wait.go
@@ -39,7 +39,7 @@
 }
 
 func (f *PlatformFailover) waitReason(now time.Time, v PlatformView) string {
-	ackedEnd, known := f.ackedEnd(v)
+	requiredEnd, known := f.requiredEnd(now, v)
 	candidates := f.fallbackCandidates(now, v, LogPosition{})
 	present := v
 	present.Ended = nil
@@ -50,7 +50,7 @@
 		return WaitForHold
 	case len(candidates) == 0:
 		return WaitForAnswers
-	case len(f.fallbackCandidates(now, v, ackedEnd)) == 0:
+	case len(f.fallbackCandidates(now, v, requiredEnd)) == 0:
 		return WaitForWrites
 	}
 	return WaitForCleanLog
--- a/internal/control/leader/leader__platform.go
+++ b/internal/control/leader/leader__platform.go
@@ -229,6 +229,10 @@
 		l.Meter.AddCounter("failover.waits."+a.Reason, 1)
 		l.Log.WithField("group", r.Name).WithField("term", r.Group.Term).WithField("reason", a.Reason).
 			WithField("logs", describeLogs(now, instances, l.statuses[r.Name])).Warn("no primary can be chosen yet")
+	case group.IncompleteChoice:
+		l.Meter.AddCounter("failover.incomplete", 1)
+		l.Log.WithField("group", r.Name).WithField("term", r.Group.Term).WithField("instance", a.Instance).
+			WithField("logs", describeLogs(now, instances, l.statuses[r.Name])).Error("logs that may alone hold acknowledged writes are taken to be lost")
 	case group.RecordCopied:
 		l.propose(ctx, "copied "+a.Instance.Name, &wire.Command{Body: &wire.Command_Withdraw{Withdraw: &wire.WithdrawInstance{
 			Name: a.Instance.Name, Born: a.Instance.Born, Copied: true,
