--- a/internal/control/group/platform_failover__copied.go
+++ b/internal/control/group/platform_failover__copied.go
@@ -23,6 +23,8 @@
 	// end is a position that a primary has reported when the instance could receive nothing more: no
 	// acknowledged write in its log is after it. It is nil while there is none.
 	end *LogPosition
+	// recorded is when the log was last proposed to be recorded as copied.
+	recorded time.Time
 }
 
 // finalAt returns a time from which the instance receives nothing more, and whether it has passed.
@@ -56,7 +58,8 @@
 		case log.end == nil:
 			log.end = v.primaryEnd(at)
 		}
-		if log.end != nil && v.copies(*log.end) >= v.RequiredCopies {
+		if log.end != nil && v.copies(*log.end) >= v.RequiredCopies && now.Sub(log.recorded) >= f.Options.ProposalInterval {
+			log.recorded = now
 			actions = append(actions, RecordCopied{e})
 		}
 		final = final || passed
--- a/internal/control/leader/leader__platform.go
+++ b/internal/control/leader/leader__platform.go
@@ -234,6 +234,8 @@
 		l.Log.WithField("group", r.Name).WithField("term", r.Group.Term).WithField("instance", a.Instance).
 			WithField("logs", describeLogs(now, instances, l.statuses[r.Name])).Error("logs that may alone hold acknowledged writes are taken to be lost")
 	case group.RecordCopied:
+		l.Log.WithField("group", r.Name).WithField("instance", a.Instance.Name).
+			WithField("logs", describeLogs(now, instances, l.statuses[r.Name])).Info("log of an ended instance is copied")
 		l.propose(ctx, "copied "+a.Instance.Name, &wire.Command{Body: &wire.Command_Withdraw{Withdraw: &wire.WithdrawInstance{
 			Name: a.Instance.Name, Born: a.Instance.Born, Copied: true,
 		}}})
