leader: Log what a failover decision knows, and skip settled instances

A line of a choice listed every instance that the group ever had, and each step compared their addresses pairwise. Both cover now what the decision looks at: candidates, and ended instances whose logs are waited for.

--- a/internal/control/leader/leader__platform.go
+++ b/internal/control/leader/leader__platform.go
@@ -88,8 +88,9 @@
 			failover = &group.PlatformFailover{Options: group.DefaultPlatformOptions()}
 			l.platformFailovers[r.Name] = failover
 		}
-		for _, a := range failover.Step(now, l.platformView(ctx, now, s, r, byGroup[r.Name])) {
-			l.executePlatformAction(ctx, now, r, byGroup[r.Name], a)
+		v := l.platformView(ctx, now, s, r, byGroup[r.Name])
+		for _, a := range failover.Step(now, v) {
+			l.executePlatformAction(ctx, now, v, byGroup[r.Name], a)
 		}
 	}
 }
@@ -98,16 +99,19 @@
 func (l *Leader) platformView(ctx context.Context, now time.Time, s *state.State, r *wire.Resource, instances []*wire.Resource) group.PlatformView {
 	v := group.PlatformView{Name: r.Name, State: r.Group, ControlHost: l.Host, RequiredCopies: l.declaredCopies(s)[r.Name], Statuses: l.statuses[r.Name]}
 	for _, in := range instances {
+		ended := in.Backend.Standing == wire.LifecycleState_GONE
+		awaited := !ended || v.RequiredCopies > 0 && !in.Backend.Copied
+		if !awaited && in.Name != r.Group.Primary {
+			continue
+		}
 		successor := state.Successor(instances, in)
 		if in.Name == r.Group.Primary {
 			v.PrimaryLog = successor.Name
 		}
 		switch {
-		case successor != in:
-		case in.Backend.Standing == wire.LifecycleState_GONE:
-			if v.RequiredCopies > 0 && !in.Backend.Copied {
-				v.Ended = append(v.Ended, group.EndedInstance{Name: in.Name, Born: in.Backend.Born, StoppedAt: l.stoppedAt[in.Name]})
-			}
+		case successor != in || !awaited:
+		case ended:
+			v.Ended = append(v.Ended, group.EndedInstance{Name: in.Name, Born: in.Backend.Born, StoppedAt: l.stoppedAt[in.Name]})
 		default:
 			v.Candidates = append(v.Candidates, l.candidate(in))
 		}
@@ -206,54 +210,56 @@
 	}
 	if now.Sub(l.probedAt[key]) >= primaryProbeInterval {
 		l.probedAt[key] = now
-		l.executePlatformAction(ctx, now, r, instances, group.QueryStatus{Instance: r.Group.Primary})
+		l.queryStatus(ctx, now, r.Name, instances, group.QueryStatus{Instance: r.Group.Primary})
 	}
 	return now.Sub(since) > primaryProbeTimeout
 }
 
 // executePlatformAction performs one action of a group.PlatformFailover. The caller holds mu.
-func (l *Leader) executePlatformAction(ctx context.Context, now time.Time, r *wire.Resource, instances []*wire.Resource, a group.Action) {
+func (l *Leader) executePlatformAction(ctx context.Context, now time.Time, v group.PlatformView, instances []*wire.Resource, a group.Action) {
+	entry := l.Log.WithField("group", v.Name).WithField("term", v.State.Term)
 	switch a := a.(type) {
 	case group.Propose:
-		entry := l.Log.WithField("group", r.Name).WithField("term", r.Group.Term).WithField("phase", r.Group.Phase.String()).WithField("change", a.Command.String())
+		entry = entry.WithField("phase", v.State.Phase.String()).WithField("change", a.Command.String())
 		if a.Command.GetChoose() != nil {
-			entry = entry.WithField("logs", describeLogs(now, instances, l.statuses[r.Name]))
+			entry = entry.WithField("logs", describeLogs(now, v))
 		}
 		entry.Info("failover step")
-		l.propose(ctx, "group "+r.Name, a.Command)
+		l.propose(ctx, "group "+v.Name, a.Command)
 	case group.QueryStatus:
-		if in, ok := findInstance(r.Name, a.Instance, instances); ok {
-			l.queryStatus(ctx, now, in, a)
-		}
+		l.queryStatus(ctx, now, v.Name, instances, a)
 	case group.Waiting:
 		l.Meter.AddCounter("failover.waits."+a.Reason, 1)
-		l.Log.WithField("group", r.Name).WithField("term", r.Group.Term).WithField("reason", a.Reason).
-			WithField("logs", describeLogs(now, instances, l.statuses[r.Name])).Warn("no primary can be chosen yet")
+		entry.WithField("reason", a.Reason).WithField("logs", describeLogs(now, v)).Warn("no primary can be chosen yet")
 	case group.IncompleteChoice:
 		l.Meter.AddCounter("failover.incomplete", 1)
-		l.Log.WithField("group", r.Name).WithField("term", r.Group.Term).WithField("instance", a.Instance).
-			WithField("logs", describeLogs(now, instances, l.statuses[r.Name])).Error("logs that may alone hold acknowledged writes are taken to be lost")
+		entry.WithField("instance", a.Instance).WithField("logs", describeLogs(now, v)).
+			Error("logs that may alone hold acknowledged writes are taken to be lost")
 	case group.RecordCopied:
-		l.Log.WithField("group", r.Name).WithField("instance", a.Instance.Name).
-			WithField("logs", describeLogs(now, instances, l.statuses[r.Name])).Info("log of an ended instance is copied")
+		entry.WithField("instance", a.Instance.Name).WithField("logs", describeLogs(now, v)).Info("log of an ended instance is copied")
 		l.propose(ctx, "copied "+a.Instance.Name, &wire.Command{Body: &wire.Command_Withdraw{Withdraw: &wire.WithdrawInstance{
 			Name: a.Instance.Name, Born: a.Instance.Born, Copied: true,
 		}}})
 	case group.RequestPromotion:
-		l.requestPromotion(ctx, r.Name, a, instances)
+		l.requestPromotion(ctx, v.Name, a, instances)
 	}
 }
 
-// describeLogs returns what is known of the logs of a group's instances, by instance: whether it has ended,
-// the last position that it has reported, and how long ago that was.
-func describeLogs(now time.Time, instances []*wire.Resource, statuses map[string]group.InstanceStatus) map[string]string {
+// describeLogs returns what a decision knows of the logs of a group's instances, by instance: the last position
+// reported, and how long ago it was asked for.
+func describeLogs(now time.Time, v group.PlatformView) map[string]string {
 	logs := map[string]string{}
-	for _, r := range instances {
-		text := r.Backend.Standing.String()
-		if status, ok := statuses[r.Name]; ok {
-			text += fmt.Sprintf(" %d.%d %s ago", status.Received.Term, status.Received.Number, now.Sub(status.QueriedAt).Round(time.Millisecond))
+	describe := func(name, standing string) {
+		logs[name] = standing + "no answer"
+		if status, ok := v.Statuses[name]; ok {
+			logs[name] = fmt.Sprintf("%s%d.%d %s ago", standing, status.Received.Term, status.Received.Number, now.Sub(status.QueriedAt).Round(time.Millisecond))
 		}
-		logs[r.Name] = text
+	}
+	for _, c := range v.Candidates {
+		describe(c.Name, "")
+	}
+	for _, e := range v.Ended {
+		describe(e.Name, "ended ")
 	}
 	return logs
 }
@@ -267,9 +273,13 @@
 	return Instance{}, false
 }
 
-// queryStatus asks an instance for its status in the background and stores the answer. The caller
-// holds mu.
-func (l *Leader) queryStatus(ctx context.Context, now time.Time, in Instance, query group.QueryStatus) {
+// queryStatus asks an instance of a group for its status in the background and stores the answer. The
+// caller holds mu.
+func (l *Leader) queryStatus(ctx context.Context, now time.Time, name string, instances []*wire.Resource, query group.QueryStatus) {
+	in, ok := findInstance(name, query.Instance, instances)
+	if !ok {
+		return
+	}
 	term := l.term
 	l.background("ask "+in.Name, func() {
 		ctx, cancel := context.WithTimeout(ctx, statusQueryTimeout)
