review: cases 11 and 12, planned replacements lose acknowledged commits

Case 11 needs no impairment: a new instance starts between the hold of the replicas and the takeover, gets its copy before it is held, and so has the waiting commits of the former primary acknowledged.

--- a/review/harness3/explore.go
+++ b/review/harness3/explore.go
@@ -87,7 +87,7 @@
 			}
 		case 2:
 			n++
-			ok = h.transaction(s, item, n, &own)
+			ok = h.transactionWith(s, item, n, &own, func() { time.Sleep(time.Duration(rng.IntN(200)) * time.Millisecond) })
 		default:
 			other := item
 			if rng.IntN(2) == 0 {
@@ -118,10 +118,6 @@
 	return a.code != "" && a.state == "I"
 }
 
-func (h *history) transaction(s *conn, item string, n int, own *string) bool {
-	return h.transactionWith(s, item, n, own, func() {})
-}
-
 func (h *history) transactionWith(s *conn, item string, n int, own *string, pause func()) bool {
 	if a := s.ask(newID(), "BEGIN", time.Second); !a.ok() {
 		return false
@@ -315,7 +311,7 @@
 	time.Sleep(time.Second)
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
-	for i := range 12 {
+	for i := range 24 {
 		wg.Add(1)
 		go h.writer(c, svc, i, stop, &wg)
 	}
@@ -333,10 +329,20 @@
 	up := func(s *server) bool { g.mu.Lock(); defer g.mu.Unlock(); return s.up }
 	primary := func() *server { g.mu.Lock(); defer g.mu.Unlock(); return g.primary }
 	lostDisk := false
+	var kinds []int
+	for _, f := range strings.Split(os.Getenv("KINDS"), ",") {
+		if n, err := strconv.Atoi(f); err == nil {
+			kinds = append(kinds, n)
+		}
+	}
 	for trouble && time.Now().Before(end) {
 		time.Sleep(time.Duration(200+rng.IntN(1800)) * time.Millisecond)
 		d := time.Duration(200+rng.IntN(4000)) * time.Millisecond
-		switch rng.IntN(18) {
+		kind := rng.IntN(18)
+		if len(kinds) > 0 {
+			kind = kinds[rng.IntN(len(kinds))]
+		}
+		switch kind {
 		case 0, 1:
 			if s := primary(); s != nil {
 				s.crash()
--- a/review/harness3/group.go
+++ b/review/harness3/group.go
@@ -724,6 +724,9 @@
 			s.held = t
 		}
 	case "RESUME":
+		if s.held != 0 {
+			g.rec.note("server %s is resumed at %s", s.id, s.last())
+		}
 		s.held = 0
 	case "STEPDOWN":
 		if g.primary == s && s.term < t {
--- a/review/harness3/release.go
+++ b/review/harness3/release.go
@@ -8,57 +8,88 @@
 	"time"
 )
 
-func init() { cases["release"] = release }
+func init() {
+	cases["release-frozen"] = releaseFrozen
+	cases["release-two"] = releaseTwo
+}
+
+// bookings is a service whose commits need a copy, with clients in transactions.
+type bookings struct {
+	c       *cluster
+	g       *group
+	h       *history
+	servers []*server
+	stop    chan struct{}
+	clients sync.WaitGroup
+}
 
-// release replaces the primary of a group whose commits need a copy: the new instance starts first, the old one
-// drains half a second later. In trouble, the control host to which the new instance sends its first heartbeat
-// stands still meanwhile, so that the instance calls the next one after a second.
-func release(rec *recorder, trouble bool) {
+const (
+	service = "huvo11a"
+	// clients is the number of sessions with transactions.
+	clients = 24
+	// drainAfter is how long after the start of a new instance the old one announces that it drains.
+	drainAfter = 500 * time.Millisecond
+)
+
+// open starts the deployment and the clients.
+func (b *bookings) open(rec *recorder) {
 	rec.detail = true
-	c := newCluster(rec, 3, 3)
-	defer c.shutdown()
-	svc := "huvo11a"
-	h := newHistory()
-	g := newGroup(rec, svc, 1)
-	g.onTakeOver = func(s *server) { h.judgeTakeOver(g, s) }
-	c.groups[svc] = g
-	c.config = func(v int) []byte { return desired(v, 1, 800, 200, svc) }
-	var servers []*server
-	start := func(s *server, control []string) {
-		if err := g.start(s, control, 1200*time.Millisecond); err != nil {
-			fail(err)
-		}
-		servers = append(servers, s)
-	}
-	next := func() *server {
-		n := 201 + len(servers)
-		return &server{id: fmt.Sprintf("i-%08x", rand.Uint32()), addr: fmt.Sprintf("%s%d:8080", c.prefix, n), zone: zones[n%3], receiveIn: time.Millisecond}
-	}
-	if err := c.run(func() {
+	b.c, b.g, b.h, b.stop = newCluster(rec, 3, 3), newGroup(rec, service, 1), newHistory(), make(chan struct{})
+	b.g.onTakeOver = func(s *server) { b.h.judgeTakeOver(b.g, s) }
+	b.c.groups[service] = b.g
+	b.c.config = func(v int) []byte { return desired(v, 1, 800, 200, service) }
+	if err := b.c.run(func() {
 		for i := range 3 {
-			s := next()
-			s.first = c.controlAddrs()[i%2]
-			start(s, c.controlAddrs())
+			b.start(b.c.controlAddrs()[i%2])
 		}
 	}); err != nil {
 		fail(err)
 	}
-	if !c.waitReady(20 * time.Second) {
+	if !b.c.waitReady(20 * time.Second) {
 		fail(fmt.Errorf("not ready"))
 	}
 	time.Sleep(2 * time.Second)
-	stop := make(chan struct{})
-	var wg sync.WaitGroup
-	for i := range 24 {
-		wg.Add(1)
-		go h.booking(c, svc, i, stop, &wg)
+	for i := range clients {
+		b.clients.Add(1)
+		go b.h.booking(b.c, service, i, b.stop, &b.clients)
 	}
 	time.Sleep(3 * time.Second)
-	old := g.leads()
-	still := c.control[0]
-	for _, host := range c.control {
+}
+
+// start starts a new instance, which calls the given control host first.
+func (b *bookings) start(first string) *server {
+	n := 201 + len(b.servers)
+	s := &server{id: fmt.Sprintf("i-%08x", rand.Uint32()), addr: fmt.Sprintf("%s%d:8080", b.c.prefix, n), zone: zones[n%3], receiveIn: time.Millisecond, first: first}
+	if err := b.g.start(s, b.c.controlAddrs(), 1200*time.Millisecond); err != nil {
+		fail(err)
+	}
+	b.servers = append(b.servers, s)
+	return s
+}
+
+// end stops the clients and judges what was seen.
+func (b *bookings) end() {
+	close(b.stop)
+	b.clients.Wait()
+	b.h.judgeEnd(b.g)
+	b.g.rec.note("%d writes acknowledged, codes %v", b.h.writes, b.h.codes)
+	if b.h.writes < 100 {
+		fail(fmt.Errorf("only %d writes were acknowledged", b.h.writes))
+	}
+	b.c.shutdown()
+}
+
+// releaseFrozen replaces the primary: the new instance starts first, the old one drains half a second later. In
+// trouble, the control host to which the new instance sends its first heartbeat stands still meanwhile, so that the
+// instance calls the next one after a second.
+func releaseFrozen(rec *recorder, trouble bool) {
+	var b bookings
+	b.open(rec)
+	old := b.g.leads()
+	still := b.c.control[0]
+	for _, host := range b.c.control {
 		used := false
-		for _, s := range servers {
+		for _, s := range b.servers {
 			used = used || s.calls() == host.ip+":8782"
 		}
 		if !used || still.ip+":8782" == old.calls() {
@@ -69,24 +100,53 @@
 		still.signal(syscall.SIGSTOP)
 	}
 	time.Sleep(300 * time.Millisecond)
-	fresh := next()
-	fresh.first = still.ip + ":8782"
-	start(fresh, c.controlAddrs())
-	time.Sleep(500 * time.Millisecond)
-	var later sync.WaitGroup
-	later.Add(1)
-	go func() { defer later.Done(); old.leave(c.controlAddrs(), 7*time.Second, 200*time.Millisecond) }()
+	b.start(still.ip + ":8782")
+	time.Sleep(drainAfter)
+	left := b.leave(old)
 	time.Sleep(3 * time.Second)
-	still.signal(syscall.SIGCONT)
-	later.Wait()
+	if trouble {
+		still.signal(syscall.SIGCONT)
+	}
+	<-left
 	time.Sleep(2 * time.Second)
-	close(stop)
-	wg.Wait()
-	h.judgeEnd(g)
-	rec.note("%d writes acknowledged, codes %v", h.writes, h.codes)
-	if h.writes < 200 {
-		fail(fmt.Errorf("only %d writes were acknowledged", h.writes))
+	b.end()
+}
+
+// releaseTwo replaces the primary and then a replica, each as above. In trouble, the second replacement begins a second
+// after the first, while the first is under way; otherwise once that is over.
+func releaseTwo(rec *recorder, trouble bool) {
+	var b bookings
+	b.open(rec)
+	primary := b.g.leads()
+	replica := b.servers[len(b.servers)-1]
+	if replica == primary {
+		replica = b.servers[0]
+	}
+	gap := 12 * time.Second
+	if trouble {
+		gap = time.Second
 	}
+	b.start("")
+	time.Sleep(drainAfter)
+	first := b.leave(primary)
+	time.Sleep(gap - drainAfter)
+	b.start("")
+	time.Sleep(drainAfter)
+	second := b.leave(replica)
+	<-first
+	<-second
+	time.Sleep(2 * time.Second)
+	b.end()
+}
+
+// leave has an instance drain and end. The channel is closed once it has ended.
+func (b *bookings) leave(s *server) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.leave(b.c.controlAddrs(), 7*time.Second, 200*time.Millisecond)
+	}()
+	return done
 }
 
 // leads returns the primary.
