--- a/review/harness3/group.go
+++ b/review/harness3/group.go
@@ -66,6 +66,8 @@
 	servers map[string]*server
 	fence   uint64
 	macs    atomic.Uint64
+	// leaveResume, if set, tells whether a RESUME is left unanswered, to be carried out late.
+	leaveResume func(s *server) bool
 	// onTakeOver, if set, is called with a server that takes over. g.mu is held.
 	onTakeOver func(s *server)
 	// pending is the promotion under way.
@@ -106,6 +108,8 @@
 	ln       net.Listener
 	conns    map[net.Conn]bool
 	inFlight int
+	// late are RESUME orders that were not answered, with the time of each; they are carried out later.
+	late []time.Time
 	// refuse, if set, tells whether a connection from a process is dropped (a cut).
 	refuse func(remote net.Addr) bool
 	// leftAcked is when a control host acknowledged that the instance drains.
@@ -383,6 +387,30 @@
 	g.cond.Broadcast()
 }
 
+// The span after which an order that was left unanswered is carried out.
+const (
+	lateFrom = 2 * time.Second
+	lateTo   = 12 * time.Second
+	// lateHold is how long after a PAUSE one of them is carried out.
+	lateHold = 400 * time.Millisecond
+)
+
+// carryOutLate has one RESUME that was left unanswered carried out shortly, if that is within its span. g.mu is held.
+func (s *server) carryOutLate() {
+	for i, at := range s.late {
+		if due := time.Since(at) + lateHold; due >= lateFrom && due <= lateTo {
+			s.late = append(s.late[:i], s.late[i+1:]...)
+			time.AfterFunc(lateHold, func() {
+				s.g.mu.Lock()
+				defer s.g.mu.Unlock()
+				s.g.rec.note("server %s carries out a RESUME of %.1f s ago at %s", s.id, time.Since(at).Seconds(), s.last())
+				s.held = 0
+			})
+			return
+		}
+	}
+}
+
 // logs returns the ends of the logs of all servers. g.mu is held.
 func (g *group) logs() string {
 	var list []string
@@ -720,10 +748,16 @@
 		if t > g.term && g.primary != s {
 			if s.held != t {
 				g.rec.note("server %s is held at %s", s.id, s.last())
+				s.carryOutLate()
 			}
 			s.held = t
 		}
 	case "RESUME":
+		if g.leaveResume != nil && g.leaveResume(s) {
+			s.late = append(s.late, time.Now())
+			g.rec.note("server %s leaves a RESUME unanswered", s.id)
+			return false
+		}
 		if s.held != 0 {
 			g.rec.note("server %s is resumed at %s", s.id, s.last())
 		}
--- a/review/harness3/release.go
+++ b/review/harness3/release.go
@@ -11,6 +11,7 @@
 func init() {
 	cases["release-frozen"] = releaseFrozen
 	cases["release-two"] = releaseTwo
+	cases["release-late"] = releaseLate
 }
 
 // bookings is a service whose commits need a copy, with clients in transactions.
@@ -139,6 +140,40 @@
 	b.end()
 }
 
+// releaseLate replaces the primary twice, five and a half seconds apart. In trouble, the orders RESUME to one of the three
+// instances that get them after the first takeover are left unanswered for that time and carried out late.
+func releaseLate(rec *recorder, trouble bool) {
+	var b bookings
+	b.open(rec)
+	if trouble {
+		b.g.leaveResume = b.last
+	}
+	b.start("")
+	time.Sleep(drainAfter)
+	first := b.leave(b.g.leads())
+	time.Sleep(5 * time.Second)
+	b.g.mu.Lock()
+	b.g.leaveResume = nil
+	b.g.mu.Unlock()
+	b.start("")
+	time.Sleep(drainAfter)
+	second := b.leave(b.g.leads())
+	<-first
+	<-second
+	time.Sleep(2 * time.Second)
+	b.end()
+}
+
+// last reports whether an instance is the last by name of the replicas that stay. g.mu is held.
+func (b *bookings) last(s *server) bool {
+	for _, o := range b.g.servers {
+		if o.up && !o.draining && o != b.g.primary && o.id > s.id {
+			return false
+		}
+	}
+	return !s.draining
+}
+
 // leave has an instance drain and end. The channel is closed once it has ended.
 func (b *bookings) leave(s *server) <-chan struct{} {
 	done := make(chan struct{})
