pool, topo: Give up the connections to a former primary

Once a term has ended whose writes require copies, hosts now give up their connections to its primary: idle ones and those of transactions between two statements are closed, requests that were sent are answered first, and none is opened until a term is open again. The next statement of such a transaction is told as not run, as it was when the primary stepped down. The state of a group names its former primary for that, since the primary of a sealed term is replaced by the chosen one.

--- a/internal/control/state/state__apply.go
+++ b/internal/control/state/state__apply.go
@@ -154,7 +154,13 @@
 	if r.Group.Phase == wire.Phase_SEALED && c.Past < r.Group.Term {
 		return rejection(fault.Conflict, "group is sealed already")
 	}
+	if r.Group.Phase == wire.Phase_OPEN {
+		r.Group.Former = r.Group.Primary
+	}
 	r.Group.Term = max(r.Group.Term, c.Past) + 1
+	if c.Revoke {
+		r.Group.Revoked = r.Group.Term
+	}
 	r.Group.Phase = wire.Phase_SEALED
 	r.Group.Sealed = index
 	r.Group.Reason = c.Reason
@@ -218,6 +224,7 @@
 		return rejection(fault.Conflict, "another primary is chosen")
 	}
 	r.Group.Phase = wire.Phase_OPEN
+	r.Group.Former = ""
 	r.Group.Reign = c.Reign
 	r.Group.Fork = c.Fork
 	return s.storeResource(index, r)
--- a/internal/traffic/pool/account.go
+++ b/internal/traffic/pool/account.go
@@ -80,6 +80,10 @@
 
 // use records that a connection is used by a request. The caller holds mu.
 func (p *Pool) use(now time.Time, c *Conn, prio Priority) {
+	if p.inUse == nil {
+		p.inUse = map[*Conn]struct{}{}
+	}
+	p.inUse[c] = struct{}{}
 	if c.account == "" {
 		return
 	}
@@ -94,6 +98,7 @@
 
 // unuse records the end of a use. The caller holds mu.
 func (p *Pool) unuse(c *Conn) {
+	delete(p.inUse, c)
 	if c.account == "" {
 		return
 	}
--- a/internal/traffic/pool/conn__exchange.go
+++ b/internal/traffic/pool/conn__exchange.go
@@ -28,6 +28,10 @@
 // error the connection must be closed. An answer that may belong to another request is replaced by one with code
 // flow.InDoubt.
 func (c *Conn) roundTrip(timeout time.Duration, last bool, reqs ...flow.Request) (flow.Answer, flow.Stage, error) {
+	if err := c.pool.beginRequest(c); err != nil {
+		return flow.Answer{}, flow.Unsent, err
+	}
+	defer c.pool.endRequest(c)
 	if err := c.checkQuiet(); err != nil {
 		return flow.Answer{}, flow.Unsent, err
 	}
@@ -39,8 +43,6 @@
 			return flow.Answer{}, flow.Unsent, errUnsendable
 		}
 	}
-	c.pool.requestSent()
-	defer c.pool.requestDone()
 	start := time.Now()
 	if err := c.raw.SetDeadline(start.Add(timeout)); err != nil {
 		return flow.Answer{}, flow.Unsent, err
--- a/internal/traffic/pool/pool.go
+++ b/internal/traffic/pool/pool.go
@@ -147,6 +147,9 @@
 	failingSince time.Time
 	lastAnswer   time.Time
 	closed       bool
+	// vacated is set while this host gives up its connections, of which inUse are those in use.
+	vacated atomic.Bool
+	inUse   map[*Conn]struct{}
 	// pending is the number of requests sent and not yet answered.
 	pending int
 	// unansweredSince is the time of the last answer, or of the first pending request if that is
@@ -281,22 +284,32 @@
 	return p.failingSince, p.lastAnswer
 }
 
-// requestSent counts a pending request.
-func (p *Pool) requestSent() {
+// beginRequest counts a pending request. It returns errVacated if no more may be sent.
+func (p *Pool) beginRequest(c *Conn) error {
 	now := p.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.vacated.Load() {
+		c.retire, c.dead = "vacated", true
+		return errVacated
+	}
 	if p.pending == 0 {
 		p.unansweredSince = now
 	}
 	p.pending++
+	c.pending = true
+	return nil
 }
 
-// requestDone ends a pending request, answered or not.
-func (p *Pool) requestDone() {
+// endRequest ends a pending request, answered or not.
+func (p *Pool) endRequest(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.pending--
+	c.pending = false
+	if p.vacated.Load() {
+		c.raw.Close()
+	}
 }
 
 // RecordLatency adds the time that an answer took, over an own or a borrowed connection, to the
@@ -339,7 +352,7 @@
 		p.mu.Unlock()
 		return p.beginUse(c, prio, now.Add(waitLimit)), nil
 	}
-	if p.closed || p.down {
+	if p.closed || p.down || p.vacated.Load() {
 		p.mu.Unlock()
 		return nil, p.unreachableError()
 	}
--- /dev/null
+++ b/internal/traffic/pool/vacate.go
@@ -0,0 +1,37 @@
+package pool
+
+import "errors"
+
+// errVacated is returned for a request that isn't sent because this host gives up its connections.
+var errVacated = errors.New("connections to the instance are given up")
+
+// Vacate closes the connections to the instance and opens no more until Occupy, so that the control hosts get one
+// although the instance accepts few: the former primary of a group has to hear that it must step down. Requests that
+// have been sent are answered first. A transaction between two statements is rolled back by the instance.
+func (p *Pool) Vacate() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || !p.vacated.CompareAndSwap(false, true) {
+		return
+	}
+	for len(p.idle) > 0 {
+		p.closeIdle(len(p.idle) - 1)
+	}
+	ended := 0
+	for c := range p.inUse {
+		if !c.pending {
+			c.raw.Close()
+			ended++
+		}
+	}
+	p.failWaiters(p.unreachableError())
+	p.Meter.AddCounter("connections.vacated", int64(ended))
+	p.Log.WithField("instance", p.Instance).WithField("group", p.Group).WithField("ended", ended).WithField("pending", p.pending).
+		Info("connections to the former primary are given up")
+}
+
+// Occupy ends what Vacate began.
+func (p *Pool) Occupy() { p.vacated.Store(false) }
+
+// Vacated reports whether this host gives up its connections to the instance.
+func (p *Pool) Vacated() bool { return p.vacated.Load() }
--- a/internal/traffic/topo/lenders.go
+++ b/internal/traffic/topo/lenders.go
@@ -205,6 +205,9 @@
 
 // unreachable reports whether the instance could not be reached recently, directly or through lenders.
 func (m *Member) unreachable(now time.Time) bool {
+	if m.Vacated() {
+		return true
+	}
 	if len(m.lenders) > 0 {
 		return now.UnixNano() < m.state.noLenderUntil.Load()
 	}
--- a/internal/traffic/topo/topology.go
+++ b/internal/traffic/topo/topology.go
@@ -140,7 +140,9 @@
 	// position that it took over from earlier terms.
 	PrimaryTerm uint64
 	Fork        token.Position
-	Members     []*Member
+	// Revoked is the term below which no write counts as carried out any more.
+	Revoked uint64
+	Members []*Member
 
 	positions *positionCache
 }
@@ -354,7 +356,7 @@
 	gs := v.Get(spec.Groups, declared.Name).GetGroup()
 	g := &Group{
 		Name: declared.Name, Term: gs.GetTerm(), Open: gs.GetPhase() == wire.Phase_OPEN, Primary: gs.GetPrimary(),
-		PrimaryTerm: gs.GetReign(), Fork: token.Position{Term: gs.GetFork().GetTerm(), Position: gs.GetFork().GetNumber()},
+		Revoked: gs.GetRevoked(), PrimaryTerm: gs.GetReign(), Fork: token.Position{Term: gs.GetFork().GetTerm(), Position: gs.GetFork().GetNumber()},
 	}
 	if t.positions[declared.Name] == nil {
 		t.positions[declared.Name] = &positionCache{history: route.PositionHistory{Retention: positionRetention}}
@@ -372,6 +374,11 @@
 		}
 		m.share = t.directShare(declared.MaxConnections, hosts)
 		m.center, m.connectionLimit = r.Backend.Center, declared.MaxConnections
+		if declared.SyncReplicas > 0 && gs.GetPhase() != wire.Phase_OPEN && r.Name == gs.GetFormer() {
+			m.Vacate()
+		} else {
+			m.Occupy()
+		}
 		seen[r.Name] = true
 		g.Members = append(g.Members, m)
 	}
@@ -568,6 +575,13 @@
 	return g.Open && current != nil && current.Open && current.Term == g.Term && t.Agent.LeaseValid(now)
 }
 
+// TermRevoked reports whether the term of g has been revoked: its primary was replaced without having stepped down, so
+// that a write which it answers now may be missing in the log of the next one.
+func (t *Topology) TermRevoked(g *Group) bool {
+	current := t.Snapshot().Groups[g.Name]
+	return current != nil && g.Term < current.Revoked
+}
+
 // PrimaryHealthReports returns this host's health reports on primaries for the next lease renewal.
 // Primaries whose health is unknown are left out.
 func (t *Topology) PrimaryHealthReports(now time.Time) []*wire.PrimaryHealth {
