group, sess: Choose a primary only once the former one is out

Cause: a choice was made as soon as all replicas known to the leader were held, although the former primary, which had not been reached, led until the takeover some 0.8 s later.

The rule is now: the next primary is chosen once the former one has become a replica, whose log has every commit. One that does not step down within AnswerTimeout, or has failed, has its term revoked in the replicated state: a host that knows of it tells no caller any more that a write of such a term was carried out. The replicas are held and asked only then, so that commits under way get their copies before. A former primary that answers, if only that it is busy, has CatchUpTimeout to step down after that, and with control hosts that are silent the choice waits until an instance that called one of them first has announced itself.

Changed checks: a planned hand-over expects no hold before the term is revoked, and no choice by held replicas before that, which is stricter; the simulation of leaving primaries lets them step down, as the platform's do.

--- a/internal/control/group/acked_model_test.go
+++ b/internal/control/group/acked_model_test.go
@@ -17,6 +17,12 @@
 	promotionDelay = 600 * time.Millisecond
 	// reconnectDelay is how long an instance that has restarted receives nothing yet.
 	reconnectDelay = 150 * time.Millisecond
+	// lateOrderDelay is after what time an order without an answer is carried out.
+	lateOrderDelay = 5 * time.Second
+	// quickAnnouncement is after what time the leader knows of a new instance if all control hosts answer, and
+	// slowAnnouncement if one does not.
+	quickAnnouncement = 100 * time.Millisecond
+	slowAnnouncement  = time.Second
 	// maxRunOn is how long an instance may run on after it has deregistered.
 	maxRunOn = time.Second
 )
@@ -30,9 +36,12 @@
 	log      []group.LogPosition
 	up       bool
 	startsAt time.Time
-	// cut is set while the leader does not reach it; deaf while it receives no commits.
-	cut, deaf bool
-	draining  bool
+	// cut is set while the leader does not reach it; deaf while it receives no commits; full while its connections
+	// are taken, so that the leader gets no status.
+	cut, deaf, full bool
+	// knownAt is when the leader learns of a new instance.
+	knownAt  time.Time
+	draining bool
 	// ended is set once the instance has deregistered; it runs on until endsAt.
 	ended  bool
 	endsAt time.Time
@@ -42,13 +51,15 @@
 	copied bool
 	// held is the term given to stop receiving from primaries of lower terms.
 	held uint64
+	// resumesAt are when late orders to receive again are carried out.
+	resumesAt []time.Time
 }
 
 func (c *copyLog) end() group.LogPosition { return c.log[len(c.log)-1] }
 
 // restart starts an instance at the address, under another name if renamed is set.
 func (s *copiesSimulation) restart(c *copyLog, renamed bool) {
-	c.up, c.cut, c.held, c.startsAt = true, false, 0, s.now
+	c.up, c.cut, c.full, c.held, c.startsAt = true, false, false, 0, s.now
 	if !renamed && !c.ended {
 		return
 	}
@@ -62,6 +73,14 @@
 	c.ended, c.copied, c.draining, c.stoppedAt = false, false, false, time.Time{}
 }
 
+// add starts an instance at a new address, which receives at once. The leader learns of it after delay.
+func (s *copiesSimulation) add(name string, delay time.Duration) {
+	s.copies = append(s.copies, &copyLog{name: name, up: true, log: []group.LogPosition{{Term: 1, Number: 1}}, startsAt: s.now.Add(-reconnectDelay), knownAt: s.now.Add(delay)})
+	if p := s.find(s.primary); p.up {
+		s.replicate(p)
+	}
+}
+
 // withdraw lets the instance deregister and run on for a time.
 func (s *copiesSimulation) withdraw(c *copyLog, runOn time.Duration) {
 	c.ended, c.endsAt = true, s.now.Add(runOn)
@@ -71,8 +90,10 @@
 // received them. Hosts that have not heard of a seal go on committing at the platform's primary.
 type copiesSimulation struct {
 	*platformSimulation
-	copies   []*copyLog
-	acked    []group.LogPosition
+	copies []*copyLog
+	acked  []group.LogPosition
+	// waiting are the commits that have not got their copies.
+	waiting  []group.LogPosition
 	stepDown bool
 	orders   []promotionOrder
 	// steppedDown is set once the platform's primary has become a replica.
@@ -84,6 +105,11 @@
 	// lost describes an acknowledged write that a promoted instance lacks, and revived a discarded one
 	// that it has.
 	lost, revived string
+	// silentHosts is the number of control hosts that do not answer.
+	silentHosts int
+	// lateResumes is set while orders to receive again get no answer and are carried out late.
+	lateResumes  bool
+	overloadedAt map[string]time.Time
 	// gaveUp is set once the leader has chosen an instance that may lack acknowledged writes.
 	gaveUp bool
 }
@@ -95,7 +121,7 @@
 }
 
 func newCopiesSimulation(stepDown bool, copies int) *copiesSimulation {
-	s := &copiesSimulation{platformSimulation: newPlatformSimulation(), stepDown: stepDown, copiesRequired: copies, discarded: map[group.LogPosition]bool{}}
+	s := &copiesSimulation{platformSimulation: newPlatformSimulation(), stepDown: stepDown, copiesRequired: copies, discarded: map[group.LogPosition]bool{}, overloadedAt: map[string]time.Time{}}
 	names := []string{"a", "b", "p"}
 	if copies > 1 {
 		names = append(names, "c")
@@ -118,9 +144,10 @@
 }
 
 func (s *copiesSimulation) view() group.PlatformView {
-	v := group.PlatformView{Name: "g", State: s.state, ControlHost: "x", RequiredCopies: s.copiesRequired, SealInForce: true, Statuses: s.statuses, Promotion: s.promotions["x"][s.state.Fence]}
+	v := group.PlatformView{Name: "g", State: s.state, ControlHost: "x", RequiredCopies: s.copiesRequired, SealInForce: true, Statuses: s.statuses, OverloadedAt: s.overloadedAt, SilentControlHosts: s.silentHosts, Promotion: s.promotions["x"][s.state.Fence]}
 	for _, c := range s.copies {
 		switch {
+		case s.now.Before(c.knownAt):
 		case !c.ended:
 			v.Candidates = append(v.Candidates, group.Candidate{
 				Name: c.name, AnnouncedPrimary: s.leads(c), Draining: c.draining, LeaveDeadline: startTime.Add(time.Hour),
@@ -135,8 +162,7 @@
 	return v
 }
 
-// commit appends a commit at the primary. Replicas that receive get all that they lack; it is
-// acknowledged if as many as required have it.
+// commit appends a commit at the primary, which waits until as many replicas as required have received it.
 func (s *copiesSimulation) commit() {
 	p := s.find(s.primary)
 	if !s.leads(p) {
@@ -144,24 +170,34 @@
 	}
 	at := group.LogPosition{Term: s.primaryTerm, Number: p.end().Number + 1}
 	p.log = append(p.log, at)
+	s.waiting = append(s.waiting, at)
 	s.replicate(p)
-	held := 0
-	for _, c := range s.copies {
-		if c != p && slices.Contains(c.log, at) {
-			held++
-		}
-	}
-	if held >= s.copiesRequired {
-		s.acked = append(s.acked, at)
-	}
 }
 
+// replicate lets the replicas that receive have all that they lack, and acknowledges the commits that have got their
+// copies. Hosts pass on none once the term is revoked.
 func (s *copiesSimulation) replicate(p *copyLog) {
 	for _, c := range s.copies {
 		if c != p && c.up && !c.deaf && c.held <= s.primaryTerm && !s.now.Before(c.startsAt.Add(reconnectDelay)) {
 			c.log = slices.Clone(p.log)
 		}
 	}
+	if !s.leads(p) {
+		return
+	}
+	revoked := s.state.Phase != wire.Phase_OPEN && s.state.Revoked == s.state.Term
+	s.waiting = slices.DeleteFunc(s.waiting, func(at group.LogPosition) bool {
+		held := 0
+		for _, c := range s.copies {
+			if c != p && !c.end().Before(at) && slices.Contains(c.log, at) {
+				held++
+			}
+		}
+		if held >= s.copiesRequired && !revoked {
+			s.acked = append(s.acked, at)
+		}
+		return held >= s.copiesRequired
+	})
 }
 
 // step lets 20 ms pass: promotions have their effect, and the leader decides.
@@ -171,6 +207,10 @@
 		if c.ended && !s.now.Before(c.endsAt) {
 			c.up = false
 		}
+		for len(c.resumesAt) > 0 && !s.now.Before(c.resumesAt[0]) {
+			c.resumesAt = c.resumesAt[1:]
+			c.held = 0
+		}
 	}
 	for len(s.orders) > 0 && !s.now.Before(s.orders[0].at) {
 		s.promoteNow(s.orders[0].promotionRequest)
@@ -202,7 +242,7 @@
 			s.revived = fmt.Sprintf("%s is promoted with %v, which had been discarded", c.name, at)
 		}
 	}
-	s.primary, s.steppedDown = c.name, false
+	s.primary, s.steppedDown, s.waiting = c.name, false, nil
 	s.primaryTerm++
 	for _, other := range s.copies {
 		other.held = 0
@@ -262,12 +302,19 @@
 	if c.cut || c.name != q.Instance {
 		return
 	}
+	if c.up && c.full {
+		s.overloadedAt[c.name] = s.now
+		return
+	}
 	if !c.up {
 		c.stoppedAt = s.now
 		return
 	}
 	c.stoppedAt = time.Time{}
 	switch {
+	case q.ResumeReplication && s.lateResumes:
+		c.resumesAt = append(c.resumesAt, s.now.Add(lateOrderDelay))
+		return
 	case q.ResumeReplication:
 		c.held = 0
 	case q.MinPrimaryTerm > s.primaryTerm && !s.leads(c):
@@ -325,13 +372,24 @@
 			},
 			"cut": func(t *rapid.T) {
 				c := instance.Draw(t, "instance")
-				// A held replica that restarts, and is then cut off from the leader, cannot be held again
-				// by anybody: the platform has no means for that.
-				if !c.cut && s.now.Before(c.startsAt.Add(promotionDelay)) {
-					t.Skip("instance has just restarted")
-				}
 				c.cut = !c.cut
 			},
+			"full": func(t *rapid.T) {
+				c := instance.Draw(t, "instance")
+				c.full = !c.full
+			},
+			"late resumes": func(*rapid.T) { s.lateResumes = !s.lateResumes },
+			"add": func(t *rapid.T) {
+				if len(s.copies) > copies+3 {
+					return
+				}
+				s.silentHosts = rapid.IntRange(0, 1).Draw(t, "silent control hosts")
+				delay := int64(quickAnnouncement)
+				if s.silentHosts > 0 {
+					delay = int64(slowAnnouncement)
+				}
+				s.add(fmt.Sprintf("n%d", len(s.copies)), time.Duration(rapid.Int64Range(0, delay).Draw(t, "unknown for")))
+			},
 			"crash": func(t *rapid.T) { instance.Draw(t, "instance").up = false },
 			"start": func(t *rapid.T) {
 				if c := instance.Draw(t, "instance"); !c.up {
--- a/internal/control/group/acked_test.go
+++ b/internal/control/group/acked_test.go
@@ -66,12 +66,20 @@
 		former.Primary, former.PrimaryTerm = true, 4
 		v.Statuses["p"], v.Statuses["a"] = former, statusAt(at, 4, 9)
 		Convey("While the primary leads, the replica is not chosen, and the primary is told to step down", func() {
-			acts := f.Step(startTime.Add(time.Second), v)
+			acts := f.Step(startTime.Add(200*time.Millisecond), v)
 			So(proposedPrimary(acts), ShouldBeEmpty)
 			So(acts, ShouldContain, group.QueryStatus{Instance: "p", StepDownTerm: 5})
-			So(acts, ShouldContain, group.QueryStatus{Instance: "b", MinPrimaryTerm: 5})
+			So(acts, ShouldContain, group.QueryStatus{Instance: "b"})
 		})
-		Convey("If it leaves too soon to be chosen again, nobody is, and the reason is reported", func() {
+		Convey("If it does not step down in time, its term is revoked, also if both replicas have answered", func() {
+			v.Statuses["b"] = statusAt(at, 4, 9)
+			acts := f.Step(startTime.Add(time.Second), v)
+			So(proposedPrimary(acts), ShouldBeEmpty)
+			So(sealReason(acts), ShouldEqual, group.ReasonPrimaryDraining)
+			So(acts[len(acts)-1].(group.Propose).Command.GetSeal().Revoke, ShouldBeTrue)
+		})
+		Convey("If its term is revoked and it leaves too soon to be chosen again, nobody is, and the reason is reported", func() {
+			v.State.Revoked = v.State.Term
 			v.Candidates[2].LeaveDeadline = startTime.Add(2 * time.Second)
 			acts := f.Step(startTime.Add(2*time.Second), v)
 			So(proposedPrimary(acts), ShouldBeEmpty)
@@ -97,18 +105,41 @@
 			v.Statuses["p"] = former
 			So(proposedPrimary(f.Step(startTime.Add(time.Minute), v)), ShouldBeEmpty)
 		})
-		Convey("Once both replicas are held, the primary need not step down", func() {
+		Convey("Once its term is revoked and both replicas are held, it need not step down", func() {
+			v.State.Revoked = v.State.Term
 			v.Statuses["b"] = statusAt(at, 4, 3)
-			So(proposedPrimary(f.Step(startTime.Add(time.Second), v)), ShouldEqual, "a")
-			b := v.Statuses["b"]
-			b.Resumed = true
-			v.Statuses["b"] = b
-			So(proposedPrimary(newPlatformFailover().Step(startTime.Add(time.Second), v)), ShouldBeEmpty)
+			Convey("But has the time to do so if it answers", func() {
+				So(proposedPrimary(f.Step(startTime.Add(time.Second), v)), ShouldBeEmpty)
+				So(proposedPrimary(f.Step(startTime.Add(group.DefaultPlatformOptions().CatchUpTimeout), v)), ShouldEqual, "a")
+			})
+			Convey("Also if it answers only that it is busy", func() {
+				delete(v.Statuses, "p")
+				v.OverloadedAt = map[string]time.Time{"p": at}
+				So(proposedPrimary(f.Step(startTime.Add(time.Second), v)), ShouldBeEmpty)
+			})
+			Convey("And none if it does not answer", func() {
+				delete(v.Statuses, "p")
+				So(proposedPrimary(f.Step(startTime.Add(group.DefaultPlatformOptions().AnswerTimeout), v)), ShouldEqual, "a")
+			})
+			Convey("Unless a control host is silent, to which an instance may have announced itself", func() {
+				delete(v.Statuses, "p")
+				v.SilentControlHosts = 1
+				So(proposedPrimary(f.Step(startTime.Add(time.Second), v)), ShouldBeEmpty)
+				So(proposedPrimary(f.Step(startTime.Add(group.DefaultPlatformOptions().AnnouncementTimeout), v)), ShouldEqual, "a")
+			})
+			Convey("A replica that was let receive again is not held", func() {
+				delete(v.Statuses, "p")
+				b := v.Statuses["b"]
+				b.Resumed = true
+				v.Statuses["b"] = b
+				So(proposedPrimary(f.Step(startTime.Add(time.Second), v)), ShouldBeEmpty)
+			})
 		})
 	})
 	Convey("Replicas are held until the chosen instance leads", t, func() {
 		f, v := newPlatformFailover(), sealedView(group.ReasonPrimaryFailed)
 		v.RequiredCopies, v.State = 1, stateAfterChoice("a")
+		v.State.Revoked = v.State.Term
 		v.Promotion = group.PromotionPending
 		So(f.Step(startTime, v), ShouldContain, group.QueryStatus{Instance: "b", MinPrimaryTerm: 1})
 	})
--- a/internal/control/group/leaving_test.go
+++ b/internal/control/group/leaving_test.go
@@ -27,8 +27,8 @@
 	declines func(name string) bool
 	// copies is the number of replicas that must have received a write.
 	copies int
-	// resumed has the replicas that were told to receive again since the term opened.
-	resumed map[string]bool
+	// held has the replicas that were told to receive nothing, and not to receive again since.
+	held map[string]bool
 	// usable is how long the term of p was open, and lastUsable the last time at which it was.
 	usable     time.Duration
 	lastUsable time.Time
@@ -64,12 +64,15 @@
 	switch a := a.(type) {
 	case group.Propose:
 		s.apply(a.Command)
-		s.resumed = map[string]bool{}
 	case group.QueryStatus:
-		s.resumed[a.Instance] = a.ResumeReplication
 		if s.answers(a.Instance, s.now) {
+			s.held[a.Instance] = a.MinPrimaryTerm > 0 || s.held[a.Instance] && !a.ResumeReplication
+			if a.StepDownTerm > s.primaryTerm && a.Instance == s.primary {
+				s.primary = ""
+			}
 			s.statuses[a.Instance] = group.InstanceStatus{
 				QueriedAt: s.now, Primary: a.Instance == s.primary, PrimaryTerm: s.primaryTerm, Received: group.LogPosition{Term: 1, Number: 9},
+				Resumed: a.ResumeReplication,
 			}
 		}
 	case group.RequestPromotion:
@@ -82,7 +85,7 @@
 
 // newLeavingSimulation returns a simulation in which p alone answers for the first 12 s.
 func newLeavingSimulation() *leavingSimulation {
-	s := &leavingSimulation{platformSimulation: newPlatformSimulation(), resumed: map[string]bool{}}
+	s := &leavingSimulation{platformSimulation: newPlatformSimulation(), held: map[string]bool{}}
 	s.declines = func(string) bool { return false }
 	s.answers = func(name string, at time.Time) bool { return name == "p" || at.Sub(startTime) > 12*time.Second }
 	return s
@@ -127,8 +130,9 @@
 		for s.state.Term < 3 || s.state.Phase != wire.Phase_OPEN || s.state.Primary != "p" {
 			s.run(stepInterval)
 		}
-		s.run(500 * time.Millisecond)
-		So(s.resumed["a"] && s.resumed["b"], ShouldBeTrue)
+		So(s.held["a"] || s.held["b"], ShouldBeTrue)
+		s.run(time.Second)
+		So(s.held["a"] || s.held["b"], ShouldBeFalse)
 	})
 }
 
@@ -148,7 +152,9 @@
 	past := startTime.Add(-time.Second)
 	sealed := func(copies int) (*group.PlatformFailover, group.PlatformView) {
 		v := sealedView(group.ReasonPrimaryDraining)
-		v.RequiredCopies = copies
+		if v.RequiredCopies = copies; copies > 0 {
+			v.State.Revoked = v.State.Term
+		}
 		v.Candidates[2].Draining, v.Candidates[2].LeaveDeadline = true, past
 		f := newPlatformFailover()
 		f.Step(startTime, v)
--- a/internal/control/group/platform_failover.go
+++ b/internal/control/group/platform_failover.go
@@ -109,6 +109,11 @@
 	SealInForce bool
 	// Statuses are the latest status reports of instances, by instance name.
 	Statuses map[string]InstanceStatus
+	// OverloadedAt is when instances were last asked for a status that they were too busy to give, by name.
+	OverloadedAt map[string]time.Time
+	// SilentControlHosts is the number of control hosts that the leader does not reach. An instance may be
+	// announced to any of them first.
+	SilentControlHosts int
 	// Promotion is the state of the promotion request with the current fencing token.
 	Promotion PromotionState
 }
@@ -119,6 +124,9 @@
 	QueryInterval time.Duration
 	// AnswerTimeout is how long the choice of a primary waits for instances that do not answer.
 	AnswerTimeout time.Duration
+	// AnnouncementTimeout is how long an instance that has started waits for a control host that does not answer
+	// before it announces itself to the next one.
+	AnnouncementTimeout time.Duration
 	// CatchUpTimeout is how long the choice waits for the best candidate to receive the whole log
 	// of the former primary, in a planned failover or if writes require copies.
 	CatchUpTimeout time.Duration
@@ -134,7 +142,7 @@
 // DefaultPlatformOptions returns the options that the leader uses.
 func DefaultPlatformOptions() PlatformOptions {
 	return PlatformOptions{
-		QueryInterval: 60 * time.Millisecond, AnswerTimeout: 250 * time.Millisecond, CatchUpTimeout: 1500 * time.Millisecond,
+		QueryInterval: 60 * time.Millisecond, AnswerTimeout: 250 * time.Millisecond, AnnouncementTimeout: 1100 * time.Millisecond, CatchUpTimeout: 1500 * time.Millisecond,
 		LostLogTimeout: 2 * time.Minute, PromotionTimeout: 3 * time.Second, ProposalInterval: 400 * time.Millisecond,
 	}
 }
@@ -323,10 +331,16 @@
 	return Candidate{}, false
 }
 
-// seal proposes to end the term for the given reason.
+// seal proposes to end the term for the given reason. If writes require copies, it also revokes the term, unless its
+// primary leaves: that one is expected to step down.
 func (f *PlatformFailover) seal(now time.Time, v PlatformView, reason string) []Action {
+	_, known := v.candidate(v.State.Primary)
+	return f.proposeSeal(now, v, reason, v.RequiredCopies > 0 && (reason != ReasonPrimaryDraining || !known))
+}
+
+func (f *PlatformFailover) proposeSeal(now time.Time, v PlatformView, reason string, revoke bool) []Action {
 	return f.propose(now, &wire.Command{Body: &wire.Command_Seal{Seal: &wire.SealTerm{
-		Group: v.Name, Term: v.State.GetTerm(), Past: v.State.GetTerm(), Reason: reason,
+		Group: v.Name, Term: v.State.GetTerm(), Past: v.State.GetTerm(), Reason: reason, Revoke: revoke,
 	}}})
 }
 
--- a/internal/control/group/platform_failover__acked.go
+++ b/internal/control/group/platform_failover__acked.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/agatespindle/agatespindle/internal/base/wire"
 )
 
 // maxAnswerGap is the longest time between two answers that count as answering without a break. An instance
@@ -14,9 +16,17 @@
 // was chosen. That is known in two cases:
 //
 //   - The former primary has become a replica, or another instance has taken over its log. Nothing
-//     follows the end of that log.
-//   - So many replicas are held, that is, receive nothing, that the former primary can have nothing
-//     acknowledged any more. What was acknowledged is in the log of one of them.
+//     follows the end of that log, whatever replicas there are.
+//   - The former primary does not answer, and its term is revoked: no host passes on any more that a write
+//     was carried out. What was passed on before is in the logs as they were when the revocation came into
+//     force, and so many replicas have answered since that one of them has it.
+//
+// That replicas are held, that is, receive nothing, is not enough while the former primary leads: an instance
+// that starts, or is not known yet, or is let receive by a late order, gives a write its copy. They are held
+// beside the revocation, since hosts that have lost the control hosts do not learn of it.
+//
+// An instance that started before the revocation came into force may be known only later, if it announced itself
+// to control hosts that do not answer. The second case waits for that (AnnouncementTimeout).
 //
 // An instance that has ended receives nothing either, but its log may alone hold acknowledged writes. It
 // counts as a replica that has not answered until the instance that takes over its log answers, or until
@@ -75,7 +85,7 @@
 	if !f.answeringSince.IsZero() && now.Sub(f.answeringSince) >= f.Options.LostLogTimeout {
 		return LogPosition{}, true
 	}
-	return f.ackedEnd(v)
+	return f.ackedEnd(now, v)
 }
 
 // trackAnswers records since when instances have answered. Without it, the first one to come back after all
@@ -96,7 +106,7 @@
 // ackedEnd returns a log position that the next primary must have received in order to hold every
 // acknowledged write. It reports false if none is known, or if further writes may be acknowledged.
 // Reports of instances that are gone by now count too.
-func (f *PlatformFailover) ackedEnd(v PlatformView) (LogPosition, bool) {
+func (f *PlatformFailover) ackedEnd(now time.Time, v PlatformView) (LogPosition, bool) {
 	if v.RequiredCopies == 0 {
 		return LogPosition{}, true
 	}
@@ -107,7 +117,7 @@
 			end = status.Received
 		}
 	}
-	if f.enoughHeld(v, former) {
+	if f.formerIsOut(now, v, former) && f.enoughHeld(v, former) {
 		return end, true
 	}
 	if !f.steppedDown(v, former) {
@@ -119,9 +129,40 @@
 	return end, true
 }
 
+// revoked reports whether hosts pass on no more writes of the former primary.
+func (v PlatformView) revoked() bool {
+	return v.State.GetRevoked() != 0 && v.State.GetRevoked() == v.State.GetTerm()
+}
+
+// mustRevoke reports whether a term without a choice is to be revoked: its primary has not stepped down in time, or no
+// instance has received the end of its log since.
+func (f *PlatformFailover) mustRevoke(now time.Time, v PlatformView) bool {
+	limit := f.Options.AnswerTimeout
+	if f.steppedDown(v, f.formerPrimary(v)) {
+		limit = f.Options.CatchUpTimeout
+	}
+	return v.RequiredCopies > 0 && !v.revoked() && now.Sub(f.sealInForceAt) >= limit
+}
+
+// formerIsOut reports whether the choice goes on without the former primary: its term is revoked, and it has had the
+// time to step down if it answers at all, as has each instance to announce itself that may have received from it.
+func (f *PlatformFailover) formerIsOut(now time.Time, v PlatformView, former string) bool {
+	patience := time.Duration(v.SilentControlHosts) * f.Options.AnnouncementTimeout
+	if f.answers(v, former) {
+		patience = max(patience, f.Options.CatchUpTimeout)
+	}
+	return v.revoked() && now.Sub(f.sealInForceAt) >= patience
+}
+
+// answers reports whether an instance has answered since the seal came into force, if only that it is busy.
+func (f *PlatformFailover) answers(v PlatformView, name string) bool {
+	at, overloaded := v.OverloadedAt[name]
+	return name != "" && (f.answered(v.Statuses[name]) || overloaded && !at.Before(f.sealInForceAt))
+}
+
 // holdsAcked reports whether an instance is known to hold every acknowledged write.
-func (f *PlatformFailover) holdsAcked(v PlatformView, name string) bool {
-	end, known := f.ackedEnd(v)
+func (f *PlatformFailover) holdsAcked(now time.Time, v PlatformView, name string) bool {
+	end, known := f.ackedEnd(now, v)
 	return known && !v.Statuses[name].Received.Before(end)
 }
 
@@ -159,8 +200,9 @@
 	return v.RequiredCopies > 0 && now.Sub(f.sealInForceAt) < f.Options.CatchUpTimeout && f.steppedDown(v, f.formerPrimary(v))
 }
 
-// holdInstances makes status queries also stop replicas from receiving, and a former primary that
-// answers step down. Once it has, replicas may receive the end of its log.
+// holdInstances makes status queries also tell a former primary to step down. Once it has, replicas may receive the
+// end of its log. Before, they are stopped from receiving if the term is revoked: writes that are under way can still
+// get their copies otherwise.
 func (f *PlatformFailover) holdInstances(now time.Time, v PlatformView, actions []Action) []Action {
 	former, term, catchUp := f.formerPrimary(v), v.termAboveAll(), f.mayCatchUp(now, v)
 	for i, a := range actions {
@@ -169,12 +211,12 @@
 		case !ok:
 			continue
 		case q.Instance == former:
-			if f.answered(v.Statuses[former]) && v.Statuses[former].Primary {
+			if f.mayStepDown(now, v, former) {
 				q.StepDownTerm = term
 			}
 		case catchUp:
 			q.ResumeReplication = true
-		default:
+		case v.revoked():
 			q.MinPrimaryTerm = term
 		}
 		actions[i] = q
@@ -182,6 +224,16 @@
 	return actions
 }
 
+// mayStepDown reports whether the former primary is told to step down: once it leads by its own answer, and writes that
+// were under way have had the time of a query to be answered.
+func (f *PlatformFailover) mayStepDown(now time.Time, v PlatformView, former string) bool {
+	status := v.Statuses[former]
+	if f.answered(status) {
+		return status.Primary
+	}
+	return f.phase == wire.Phase_SEALED && now.Sub(f.sealInForceAt) >= f.Options.QueryInterval
+}
+
 // termAboveAll returns a term above the newest that an instance was primary in.
 func (v PlatformView) termAboveAll() uint64 {
 	highest := v.State.GetReign()
@@ -195,7 +247,7 @@
 // it was held would receive writes of the former primary again, and so have them acknowledged.
 func (f *PlatformFailover) keepHolding(now time.Time, v PlatformView) []Action {
 	chosen := v.Statuses[v.State.Primary]
-	if v.RequiredCopies == 0 || chosen.Primary && chosen.QueriedAt.After(f.phaseSince) {
+	if v.RequiredCopies == 0 || !v.revoked() || chosen.Primary && chosen.QueriedAt.After(f.phaseSince) {
 		return nil
 	}
 	var actions []Action
--- a/internal/control/group/platform_failover__choose.go
+++ b/internal/control/group/platform_failover__choose.go
@@ -23,11 +23,14 @@
 	}
 	f.trackAnswers(now, v)
 	name, ok := f.pickPrimary(now, v)
+	if !ok && f.mustRevoke(now, v) {
+		return append(actions, f.proposeSeal(now, v, v.State.Reason, true)...)
+	}
 	if !ok {
 		return append(actions, f.reportWait(now, v)...)
 	}
 	proposal := f.proposeChoice(now, v, name)
-	if len(proposal) > 0 && name != f.formerPrimary(v) && !f.holdsAcked(v, name) {
+	if len(proposal) > 0 && name != f.formerPrimary(v) && !f.holdsAcked(now, v, name) {
 		actions = append(actions, IncompleteChoice{name})
 	}
 	return append(actions, proposal...)
--- a/internal/control/group/platform_failover_test.go
+++ b/internal/control/group/platform_failover_test.go
@@ -40,9 +40,14 @@
 	return &wire.GroupState{Term: 2, Phase: wire.Phase_CHOSEN, Primary: name, Chooser: "core", Fence: 40}
 }
 
-// sealedState returns the state of the group after a term was ended whose primary was name.
+// sealedState returns the state of the group after a term was ended whose primary was name. It is revoked unless the
+// primary leaves.
 func sealedState(reason, name string, term uint64) *wire.GroupState {
-	return &wire.GroupState{Term: term, Phase: wire.Phase_SEALED, Primary: name, Reason: reason, Sealed: 9}
+	gs := &wire.GroupState{Term: term, Phase: wire.Phase_SEALED, Primary: name, Reason: reason, Sealed: 9}
+	if reason != group.ReasonPrimaryDraining {
+		gs.Revoked = term
+	}
+	return gs
 }
 
 // statusAt returns the status of a replica that was queried at a time and has received the log up
@@ -257,11 +262,14 @@
 // apply applies a proposed command as the replicated state machine does.
 func (s *platformSimulation) apply(cmd *wire.Command) {
 	s.index++
-	gs := &wire.GroupState{Term: s.state.Term, Phase: s.state.Phase, Primary: s.state.Primary, Chooser: s.state.Chooser, Fence: s.state.Fence, Reason: s.state.Reason}
+	gs := &wire.GroupState{Term: s.state.Term, Phase: s.state.Phase, Primary: s.state.Primary, Chooser: s.state.Chooser, Fence: s.state.Fence, Reason: s.state.Reason, Revoked: s.state.Revoked}
 	switch {
 	case cmd.GetSeal() != nil && cmd.GetSeal().Term == gs.Term:
 		gs.Term++
 		gs.Phase, gs.Reason = wire.Phase_SEALED, cmd.GetSeal().Reason
+		if cmd.GetSeal().Revoke {
+			gs.Revoked = gs.Term
+		}
 	case cmd.GetChoose() != nil && cmd.GetChoose().Term == gs.Term && gs.Phase != wire.Phase_OPEN:
 		gs.Phase, gs.Primary, gs.Chooser, gs.Fence = wire.Phase_CHOSEN, cmd.GetChoose().Primary, cmd.GetChoose().Chooser, s.index
 	case cmd.GetOpen() != nil && cmd.GetOpen().Term == gs.Term && gs.Phase == wire.Phase_CHOSEN && gs.Primary == cmd.GetOpen().Primary:
--- a/internal/control/leader/leader.go
+++ b/internal/control/leader/leader.go
@@ -78,6 +78,8 @@
 	statuses map[string]map[string]group.InstanceStatus
 	// stoppedAt is when an instance's address last refused connections, by name, unless it has answered since.
 	stoppedAt map[string]time.Time
+	// overloadedAt is when instances were last asked for a status that they were too busy to give, by name.
+	overloadedAt map[string]time.Time
 	// promotions are the latest promotion requests, by group.
 	promotions map[string]promotionRequest
 	// shares divides the limits of client accounts among the hosts.
@@ -143,6 +145,7 @@
 	l.platformFailovers = map[string]*group.PlatformFailover{}
 	l.statuses = map[string]map[string]group.InstanceStatus{}
 	l.stoppedAt = map[string]time.Time{}
+	l.overloadedAt = map[string]time.Time{}
 	l.promotions = map[string]promotionRequest{}
 	l.instanceReports = map[string]map[string]group.Report{}
 	l.primaryHealth = map[string]map[string]*wire.PrimaryHealth{}
--- a/internal/control/leader/leader__platform.go
+++ b/internal/control/leader/leader__platform.go
@@ -97,7 +97,12 @@
 
 // platformView returns what the leader knows of a group. The caller holds mu.
 func (l *Leader) platformView(ctx context.Context, now time.Time, s *state.State, r *wire.Resource, instances []*wire.Resource) group.PlatformView {
-	v := group.PlatformView{Name: r.Name, State: r.Group, ControlHost: l.Host, RequiredCopies: l.declaredCopies(s)[r.Name], Statuses: l.statuses[r.Name]}
+	v := group.PlatformView{Name: r.Name, State: r.Group, ControlHost: l.Host, RequiredCopies: l.declaredCopies(s)[r.Name], Statuses: l.statuses[r.Name], OverloadedAt: l.overloadedAt}
+	for _, healthy := range l.Driver.Status().Healthy {
+		if !healthy {
+			v.SilentControlHosts++
+		}
+	}
 	for _, in := range instances {
 		ended := in.Backend.Standing == wire.LifecycleState_GONE
 		awaited := !ended || v.RequiredCopies > 0 && !in.Backend.Copied
@@ -320,6 +325,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.term == term {
+		l.overloadedAt[in.Name] = queriedAt
 		l.unavailableSince[primaryKey(in.Group, in.Name)] = queriedAt
 	}
 }
--- a/internal/traffic/sess/execution.go
+++ b/internal/traffic/sess/execution.go
@@ -233,6 +233,11 @@
 		e.recordFailure(m, flow.Sent, causePrimaryReplaced, effect)
 		return flow.Answer{}, false
 	}
+	if effect == flow.Writes && e.session.mgr.Topology.TermRevoked(e.group) {
+		e.session.mgr.Meter.AddCounter("refused.revoked", 1)
+		e.recordFailure(m, flow.Sent, causeTermRevoked, effect)
+		return e.handleMissingAnswer(effect)
+	}
 	if onPrimary && e.fenced {
 		e.group.RecordProvenPosition(sent, answer.Position)
 		e.session.positions = e.session.positions.With(e.group.Name, answer.Position)
@@ -247,6 +252,9 @@
 	return answer, true
 }
 
+// causeTermRevoked is the logged cause of a write whose success is not passed on.
+const causeTermRevoked = "term of the primary was revoked before it answered"
+
 // causePrimaryReplaced is the logged cause of a failed try whose answer may miss acknowledged writes.
 const causePrimaryReplaced = "primary may have been replaced before it answered"
 
--- a/internal/traffic/sess/lease_test.go
+++ b/internal/traffic/sess/lease_test.go
@@ -33,7 +33,11 @@
 
 // newUnleasedHost starts two instances and returns a host without a lease.
 func newUnleasedHost(t *testing.T) unleasedHost {
-	g := &mimic.Group{Name: "g", MaxConns: 16}
+	return newUnleasedHostOf(t, &mimic.Group{Name: "g", MaxConns: 16})
+}
+
+// newUnleasedHostOf starts two instances of a group and returns a host without a lease.
+func newUnleasedHostOf(t *testing.T, g *mimic.Group) unleasedHost {
 	var resources []*wire.Resource
 	for _, name := range []string{"i-1", "i-2"} {
 		in, err := g.Start(name, "127.0.0.1:0", "a")
