group: Let only replicas receive again that are held

Cause: after each takeover the leader sent RESUME to every replica every 0.4 s for 3 s, and so it did in a hand-over, whether a replica was held or not. Each of these orders may be carried out seconds later, when the replica is to be held.

A status now tells whether a replica is held (the fourth field of the row).

--- a/internal/control/group/platform_failover.go
+++ b/internal/control/group/platform_failover.go
@@ -45,6 +45,8 @@
 	Received LogPosition
 	// Resumed is set if the query let the instance receive again.
 	Resumed bool
+	// Held is set while the instance receives nothing from the primary.
+	Held bool
 }
 
 // Candidate is an instance that has announced itself.
@@ -293,18 +295,22 @@
 	return f.resumeReplication(now, v)
 }
 
-// resumeReplication lets replicas receive again that were stopped while the primary was chosen, for a
-// time after the term has opened.
+// resumeReplication asks replicas, for a time after the term has opened, whether they are still held, and lets those
+// receive again, whenever they answer. No other replica is told to: an order that gets no answer may be carried out
+// late, when the replica is to be held again.
 func (f *PlatformFailover) resumeReplication(now time.Time, v PlatformView) []Action {
-	if v.RequiredCopies == 0 || now.Sub(f.phaseSince) >= f.Options.PromotionTimeout {
+	if v.RequiredCopies == 0 {
 		return nil
 	}
+	recent := now.Sub(f.phaseSince) < f.Options.PromotionTimeout
 	var actions []Action
 	for _, c := range v.Candidates {
-		if c.Name != v.State.Primary && now.Sub(f.lastQueried[c.Name]) >= f.Options.ProposalInterval {
-			f.lastQueried[c.Name] = now
-			actions = append(actions, QueryStatus{Instance: c.Name, ResumeReplication: true})
+		status := v.Statuses[c.Name]
+		if c.Name == v.State.Primary || !recent && !status.Held || now.Sub(f.lastQueried[c.Name]) < f.Options.ProposalInterval {
+			continue
 		}
+		f.lastQueried[c.Name] = now
+		actions = append(actions, QueryStatus{Instance: c.Name, ResumeReplication: status.Held && status.QueriedAt.After(f.phaseSince)})
 	}
 	return actions
 }
--- a/internal/control/group/platform_failover__acked.go
+++ b/internal/control/group/platform_failover__acked.go
@@ -215,7 +215,7 @@
 				q.StepDownTerm = term
 			}
 		case catchUp:
-			q.ResumeReplication = true
+			q.ResumeReplication = v.Statuses[q.Instance].Held
 		case v.revoked():
 			q.MinPrimaryTerm = term
 		}
--- a/internal/control/group/platform_failover__leaving.go
+++ b/internal/control/group/platform_failover__leaving.go
@@ -32,11 +32,5 @@
 		}
 		actions = f.queryStatus(now, c.Name, actions)
 	}
-	for i, a := range actions {
-		if q, ok := a.(QueryStatus); ok {
-			q.ResumeReplication = v.RequiredCopies > 0
-			actions[i] = q
-		}
-	}
-	return actions
+	return append(actions, f.resumeReplication(now, v)...)
 }
--- a/internal/control/group/unheld_test.go
+++ b/internal/control/group/unheld_test.go
@@ -150,3 +150,42 @@
 		}
 	})
 }
+
+// TestReplicasThatReceiveAreNotToldTo guards against orders to receive again that are carried out late, when the
+// replica is to be held (review case 13).
+func TestReplicasThatReceiveAreNotToldTo(t *testing.T) {
+	Convey("A hand-over from a primary that steps down, and the term after it, order no replica to receive again", t, func() {
+		s := newCopiesSimulation(true, 1)
+		s.find("p").draining = true
+		s.lateResumes = true
+		for range 500 {
+			s.step()
+			s.commit()
+		}
+		So(s.serves(), ShouldBeTrue)
+		for _, c := range s.copies {
+			So(c.resumesAt, ShouldBeEmpty)
+		}
+	})
+	Convey("A replica that is held and does not answer for long is let receive again when it answers", t, func() {
+		s := newCopiesSimulation(true, 1)
+		s.find("p").up = false
+		for !s.serves() {
+			s.step()
+		}
+		other := s.find("a")
+		if s.state.Primary == "a" {
+			other = s.find("b")
+		}
+		other.held, other.cut = 9, true
+		s.statuses[other.name] = group.InstanceStatus{QueriedAt: s.now, PrimaryTerm: 1, Received: other.end(), Held: true}
+		for range 500 {
+			s.step()
+		}
+		other.cut = false
+		for range 50 {
+			s.step()
+		}
+		So(other.held, ShouldEqual, 0)
+	})
+}
