--- a/internal/control/leader/leader__platform.go
+++ b/internal/control/leader/leader__platform.go
@@ -226,9 +226,12 @@
 	switch a := a.(type) {
 	case group.Propose:
 		entry = entry.WithField("phase", v.State.Phase.String()).WithField("change", a.Command.String())
-		if a.Command.GetChoose() != nil {
+		if a.Command.GetChoose() != nil || a.Command.GetSeal().GetRevoke() {
 			entry = entry.WithField("logs", describeLogs(now, v))
 		}
+		if a.Command.GetSeal().GetRevoke() {
+			l.Meter.AddCounter("failover.revoked", 1)
+		}
 		entry.Info("failover step")
 		l.propose(ctx, "group "+v.Name, a.Command)
 	case group.QueryStatus:
@@ -251,13 +254,23 @@
 }
 
 // describeLogs returns what a decision knows of the logs of a group's instances, by instance: the last position
-// reported, and how long ago it was asked for.
+// reported, how long ago it was asked for, whether the instance led or was held then, and how long ago it was too busy to
+// tell.
 func describeLogs(now time.Time, v group.PlatformView) map[string]string {
 	logs := map[string]string{}
 	describe := func(name, standing string) {
 		logs[name] = standing + "no answer"
 		if status, ok := v.Statuses[name]; ok {
 			logs[name] = fmt.Sprintf("%s%d.%d %s ago", standing, status.Received.Term, status.Received.Number, now.Sub(status.QueriedAt).Round(time.Millisecond))
+			switch {
+			case status.Primary:
+				logs[name] += ", leads"
+			case status.Held:
+				logs[name] += ", held"
+			}
+		}
+		if at, ok := v.OverloadedAt[name]; ok {
+			logs[name] += fmt.Sprintf(", busy %s ago", now.Sub(at).Round(time.Millisecond))
 		}
 	}
 	for _, c := range v.Candidates {
