model: Specify instances that start in a sealed term

copies.pml left out an instance that starts in a sealed term and receives before the leader holds it. It now has an address that may have no instance at first; one that starts there receives at once, is unknown for a while, and may do so in an open or a sealed term. That replicas are held is left out altogether, since a late order, a restart or a start undoes it: the rule must not rest on it. Terms are revoked, and the former primary may never be told to step down.

Whole: no error in 4,943,597 states (two writes, two terms). Each of eight builds without a guard is caught; the one without a hold is replaced by five: a revocation that hosts do not heed, a choice before the revocation, a former primary taken to have stepped down because it answers, an instance that is not waited for until it announces itself, and answers from before the revocation.

--- a/model/copies.pml
+++ b/model/copies.pml
@@ -4,8 +4,15 @@
  *
  * Three addresses, each with a log. An instance crashes and comes back with its log, or it
  * deregisters, runs on for a while, ends, and another one may start with its log. One that never
- * does so is one that is lost. The leader of the control hosts may be replaced at any time; all it
- * has not recorded is lost with it. Hosts that have not heard of a seal go on writing.
+ * does so is one that is lost. One address may have no instance at first; one that starts there, in
+ * an open or a sealed term, receives at once, while the leader does not know it. The leader of the
+ * control hosts may be replaced at any time; all it has not recorded is lost with it. Hosts that have
+ * not heard of a seal go on writing, and tell callers so until the term is revoked. That replicas are
+ * held is left out: a late order, a restart or a start undoes it.
+ *
+ * Assumed: an instance that started before a term was revoked is known before a choice without the
+ * former primary, which waits for that. A former primary that has stepped down does not lead again
+ * unless it is promoted.
  *
  * Asserted: an instance that is promoted has every acknowledged write.
  */
@@ -17,13 +24,12 @@
 #endif
 #define N 3
 
-mtype = { UP, DOWN, LEAVING, ENDED };
+mtype = { UP, DOWN, LEAVING, ENDED, ABSENT };
 
 /* The instances: LEAVING has deregistered and still runs. */
 mtype st[N] = UP;
 byte log[N];            /* the writes of a log, one bit each */
 byte lterm[N], lnum[N]; /* the end of a log */
-bool held[N];           /* receives nothing */
 
 /* The platform. */
 byte term = 1;
@@ -38,8 +44,11 @@
 bool chosen = false;    /* in a sealed term, the primary is the one that is to be promoted */
 byte former = 0;        /* the primary of the term that was ended last */
 bool copied[N];         /* the log of an ended instance is copied */
+bool revoked = false;   /* hosts tell no caller that a write of the former primary was carried out */
 
 /* What the leader knows. */
+bool unknown[N];        /* has started and is not known yet */
+bool early[N];          /* started before the term was revoked */
 bool answered[N];
 byte rterm[N], rnum[N];
 bool known[N];          /* an end that bounds the acknowledged writes of an ended log */
@@ -49,10 +58,11 @@
 #define gone(i) (st[i] == LEAVING || st[i] == ENDED)
 #define reaches(t1, n1, t2, n2) (t1 > t2 || (t1 == t2 && n1 >= n2))
 
+#define here(i) (st[i] != ABSENT && !unknown[i])
 #ifdef NOENDED
-#define waited(i) (!gone(i))
+#define waited(i) (here(i) && !gone(i))
 #else
-#define waited(i) (!(gone(i) && copied[i]))
+#define waited(i) (here(i) && !(gone(i) && copied[i]))
 #endif
 #ifdef EARLYEND
 #define final(i) gone(i)
@@ -64,18 +74,32 @@
 #else
 #define holds(j, i) reaches(lterm[j], lnum[j], endterm[i], endnum[i])
 #endif
-#ifdef NOHOLD
-#define hold(i) skip
+#ifdef NOREVOKE
+#define passed true
+#else
+#define passed (!revoked)
+#endif
+#ifdef NOANNOUNCE
+#define announced true
 #else
-#define hold(i) held[i] = true
+#define announced (!(unknown[0] && early[0]) && !(unknown[1] && early[1]) && !(unknown[2] && early[2]))
+#endif
+#ifdef EARLYCHOICE
+#define out true
+#else
+#define out revoked
+#endif
+#ifdef NOSTEP
+#define stepped (answered[former])
+#else
+#define stepped (answered[former] && !(leads && lead == former))
 #endif
 
 #define free(i) (i != former && waited(i) && !answered[i])
 #define enough (!free(0) && !free(1) && !free(2))
-#define stepped (answered[former] && !(leads && lead == former))
 /* A replica's report that the next primary c must reach. */
 #define covers(c, j) (!answered[j] || (j == former && !stepped) || reaches(rterm[c], rnum[c], rterm[j], rnum[j]))
-#define may(c) (answered[c] && st[c] == UP && (enough || stepped) && covers(c, 0) && covers(c, 1) && covers(c, 2))
+#define may(c) (answered[c] && st[c] == UP && (out && enough && announced || stepped) && covers(c, 0) && covers(c, 1) && covers(c, 2))
 
 inline forget() {
   d_step {
@@ -94,16 +118,19 @@
 /* i, j and c are any addresses. */
 inline instance(i) {
   if
-  :: d_step { leads && i != lead && runs(lead) && runs(i) && !held[i] &&
+  :: d_step { leads && i != lead && runs(lead) && runs(i) &&
        (log[i] != log[lead] || lterm[i] != lterm[lead] || lnum[i] != lnum[lead]) ->
-       log[i] = log[lead]; lterm[i] = lterm[lead]; lnum[i] = lnum[lead]; acked = acked | log[lead] }
+       log[i] = log[lead]; lterm[i] = lterm[lead]; lnum[i] = lnum[lead];
+       if :: passed -> acked = acked | log[lead] :: else fi }
   :: d_step { st[i] == UP -> st[i] = DOWN; answered[i] = false; rterm[i] = 0; rnum[i] = 0 }
-  :: d_step { st[i] == DOWN -> st[i] = UP; held[i] = !opened }
+  :: d_step { st[i] == DOWN -> st[i] = UP }
+  :: d_step { st[i] == ABSENT -> st[i] = UP; unknown[i] = true; early[i] = !revoked }
+  :: d_step { unknown[i] -> unknown[i] = false; early[i] = false }
   :: d_step { st[i] == UP -> st[i] = LEAVING }
   :: d_step { st[i] == LEAVING -> st[i] = ENDED }
   :: d_step { st[i] == ENDED ->
        st[i] = UP; copied[i] = false; known[i] = false; endterm[i] = 0; endnum[i] = 0;
-       answered[i] = false; rterm[i] = 0; rnum[i] = 0; held[i] = !opened;
+       answered[i] = false; rterm[i] = 0; rnum[i] = 0;
        if :: i == lead -> leads = false :: else fi }
   fi
 }
@@ -115,10 +142,8 @@
        known[i] = true; endterm[i] = lterm[lead]; endnum[i] = lnum[lead] }
   :: d_step { opened && gone(i) && !copied[i] && known[i] && i != j && j != primary && st[j] == UP && holds(j, i) ->
        copied[i] = true }
-  /* The sealed term: queries hold replicas, and let the former primary step down, which it may not do. */
-  :: d_step { !opened && st[i] == UP && !(leads && i == lead) ->
-       answered[i] = true; rterm[i] = lterm[i]; rnum[i] = lnum[i]; hold(i) }
-  :: d_step { !opened && st[i] == UP && leads && i == lead ->
+  /* The sealed term: queries of any instance, and the order to step down, which may never arrive. */
+  :: d_step { !opened && st[i] == UP && !unknown[i] ->
        answered[i] = true; rterm[i] = lterm[i]; rnum[i] = lnum[i] }
   :: d_step { !opened && st[i] == UP && leads && i == lead && answered[i] ->
        leads = false; rterm[i] = lterm[i]; rnum[i] = lnum[i] }
@@ -128,6 +153,7 @@
 
 active proctype group() {
   lterm[0] = 1; lterm[1] = 1; lterm[2] = 1;
+  if :: skip :: st[2] = ABSENT; lterm[2] = 0 fi;
   do
   :: d_step { leads && runs(lead) && writes < WRITES ->
        log[lead] = log[lead] | (1 << writes); writes++;
@@ -143,11 +169,16 @@
   :: leader(2, 1)
   :: atomic { opened -> opened = false; former = primary; forget() }
   :: atomic { !opened -> chosen = false; primary = former; forget() }
+#ifdef STALEANSWERS
+  :: atomic { !opened && !revoked -> revoked = true }
+#else
+  :: atomic { !opened && !chosen && !revoked -> revoked = true; forget() }
+#endif
   :: atomic { forget(); forgetends() }
   :: atomic { !opened && chosen && st[primary] == UP && term < MAXT ->
        assert((acked & (255 - log[primary])) == 0);
        if :: lead != primary || !leads -> term++ :: else fi;
        lead = primary; leads = true; opened = true; chosen = false; former = primary;
-       held[0] = false; held[1] = false; held[2] = false; forget() }
+       revoked = false; early[0] = unknown[0]; early[1] = unknown[1]; early[2] = unknown[2]; forget() }
   od
 }
