pool: Mark the connections that are given up

A connection that was given up in use and returned after the next term had opened was taken for one that the instance had closed: its failure counted against the instance, which was probed. The mark now belongs to the connection.

In a revoked term also those of requests under way are closed: commits that wait for copies which nobody will have kept the former primary's connections taken until their time limit. Their answers would not be passed on.

TestFormerPrimaryGetsRoomForControl (two further cases, failed before), TestConnectionsToFormerPrimaryAreGivenUp.

--- a/internal/traffic/pool/dial.go
+++ b/internal/traffic/pool/dial.go
@@ -130,7 +130,7 @@
 // assign gives a connection to the first waiter that it serves. Without such waiters it keeps the connection idle, or
 // closes it if the host may only use its share and has more. The caller holds mu.
 func (p *Pool) assign(now time.Time, c *Conn) {
-	if p.closed || p.vacated.Load() {
+	if p.closed || p.vacated.Load() || c.vacated {
 		c.raw.Close()
 		p.open--
 		return
--- a/internal/traffic/pool/pool.go
+++ b/internal/traffic/pool/pool.go
@@ -289,7 +289,7 @@
 	now := p.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.vacated.Load() {
+	if c.vacated {
 		c.retire, c.dead = "vacated", true
 		return errVacated
 	}
@@ -307,7 +307,7 @@
 	defer p.mu.Unlock()
 	p.pending--
 	c.pending = false
-	if p.vacated.Load() {
+	if c.vacated {
 		c.raw.Close()
 	}
 }
--- a/internal/traffic/pool/pool__idle.go
+++ b/internal/traffic/pool/pool__idle.go
@@ -76,7 +76,7 @@
 	defer p.mu.Unlock()
 	p.unuse(c)
 	p.open--
-	if !p.closed && !p.vacated.Load() {
+	if !p.closed && !c.vacated {
 		if c.lost || c.retire == "" {
 			p.recordConnFailure(now)
 		}
--- a/internal/traffic/pool/vacate.go
+++ b/internal/traffic/pool/vacate.go
@@ -6,25 +6,34 @@
 var errVacated = errors.New("connections to the instance are given up")
 
 // Vacate closes the connections to the instance and opens no more until Occupy, so that the control hosts get one
-// although the instance accepts few: the former primary of a group has to hear that it must step down. Requests that
-// have been sent are answered first. A transaction between two statements is rolled back by the instance.
-func (p *Pool) Vacate() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.closed || !p.vacated.CompareAndSwap(false, true) {
+// although the instance accepts few: the former primary of a group has to hear that it must step down. A transaction
+// between two statements is rolled back by the instance. Requests that have been sent are answered first, unless now is
+// set: their answers would not count any more.
+func (p *Pool) Vacate(now bool) {
+	first := p.vacated.CompareAndSwap(false, true)
+	if !first && !now {
 		return
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for len(p.idle) > 0 {
 		p.closeIdle(len(p.idle) - 1)
 	}
 	ended := 0
 	for c := range p.inUse {
-		if !c.pending {
+		if c.vacated && !(now && c.pending) {
+			continue
+		}
+		c.vacated = true
+		if now || !c.pending {
 			c.raw.Close()
 			ended++
 		}
 	}
 	p.failWaiters(p.unreachableError())
+	if !first && ended == 0 {
+		return
+	}
 	p.Meter.AddCounter("connections.vacated", int64(ended))
 	p.Log.WithField("instance", p.Instance).WithField("group", p.Group).WithField("ended", ended).WithField("pending", p.pending).
 		Info("connections to the former primary are given up")
--- a/internal/traffic/pool/vacate_test.go
+++ b/internal/traffic/pool/vacate_test.go
@@ -53,7 +53,7 @@
 			answered <- result{a, err}
 		}()
 		time.Sleep(longServiceTime / 4) // The write has been sent.
-		p.Vacate()
+		p.Vacate(false)
 
 		Convey("When the host gives them up, there is room at once, and a statement that was sent is answered", func() {
 			var c *pool.Conn
@@ -79,6 +79,29 @@
 			So(g.WriteCount("w"), ShouldEqual, 0)
 			So(p.Down(), ShouldBeFalse)
 		})
+		Convey("If answers do not count any more, a statement that was sent ends at once", func() {
+			p.Vacate(true)
+			select {
+			case r := <-answered:
+				So(r.err, ShouldNotBeNil)
+			case <-time.After(longServiceTime / 2):
+				So("the statement", ShouldEqual, "ended")
+			}
+			So(p.Down(), ShouldBeFalse)
+		})
+		Convey("Connections that were given up are not used again", func() {
+			<-answered
+			p.Occupy()
+			for _, c := range list {
+				_, stage, err := run(c, flow.Forward, "COMMIT")
+				So(err, ShouldNotBeNil)
+				So(stage, ShouldEqual, flow.Unsent)
+				c.Release()
+			}
+			failing, _ := p.Health()
+			So(failing.IsZero(), ShouldBeTrue)
+			So(p.Load(), ShouldEqual, 0)
+		})
 		Convey("No connection is opened until it may be used again", func() {
 			<-answered
 			_, err := p.Get(context.Background(), longServiceTime, pool.Priority{})
--- a/internal/traffic/topo/topology.go
+++ b/internal/traffic/topo/topology.go
@@ -375,7 +375,7 @@
 		m.share = t.directShare(declared.MaxConnections, hosts)
 		m.center, m.connectionLimit = r.Backend.Center, declared.MaxConnections
 		if declared.SyncReplicas > 0 && gs.GetPhase() != wire.Phase_OPEN && r.Name == gs.GetFormer() {
-			m.Vacate()
+			m.Vacate(gs.Revoked == gs.Term)
 		} else {
 			m.Occupy()
 		}
