sess: Acknowledge no write without a lease where it needs a copy

A host that has lost the control hosts holds no lease and does not learn that a term is revoked. For the leader the revocation is in force on it once its lease has ended; but it went on passing on what the former primary answered, whose writes get their copy from any instance on its side of a partition that the leader does not hold. So in groups whose writes require copies such a host now refuses writes as not run (tries.withheld.unleased) and tells an answer that is read without a lease as in doubt. Groups without copies are served as before.

TestHostWithoutLeaseAcknowledgesNoCopies failed without the rule.

--- a/internal/control/group/platform_failover__acked.go
+++ b/internal/control/group/platform_failover__acked.go
@@ -18,12 +18,11 @@
 //   - The former primary has become a replica, or another instance has taken over its log. Nothing
 //     follows the end of that log, whatever replicas there are.
 //   - The former primary does not answer, and its term is revoked: no host passes on any more that a write
-//     was carried out. What was passed on before is in the logs as they were when the revocation came into
+//     was carried out, nor does one that has no lease. What was passed on before is in the logs as they were when the revocation came into
 //     force, and so many replicas have answered since that one of them has it.
 //
 // That replicas are held, that is, receive nothing, is not enough while the former primary leads: an instance
-// that starts, or is not known yet, or is let receive by a late order, gives a write its copy. They are held
-// beside the revocation, since hosts that have lost the control hosts do not learn of it.
+// that starts, or is not known yet, or is let receive by a late order, gives a write its copy.
 //
 // An instance that started before the revocation came into force may be known only later, if it announced itself
 // to control hosts that do not answer. The second case waits for that (AnnouncementTimeout).
--- a/internal/traffic/sess/execution.go
+++ b/internal/traffic/sess/execution.go
@@ -112,6 +112,10 @@
 		e.group = &topo.Group{Name: e.db.Group}
 		return nil, false
 	}
+	if e.fenced && !topology.MayAcknowledge(now, e.group) {
+		e.session.mgr.Meter.AddCounter("tries.withheld.unleased", 1)
+		return nil, false
+	}
 	e.needsPrimary, e.minPosition = !readOnly || e.db.Consistency == spec.StrongConsistency, token.Position{}
 	if !e.needsPrimary {
 		e.minPosition, e.needsPrimary = e.requiredPosition(ctx, now)
@@ -233,7 +237,7 @@
 		e.recordFailure(m, flow.Sent, causePrimaryReplaced, effect)
 		return flow.Answer{}, false
 	}
-	if effect == flow.Writes && e.session.mgr.Topology.TermRevoked(e.group) {
+	if effect == flow.Writes && !e.session.mgr.Topology.MayAcknowledge(now, e.group) {
 		e.session.mgr.Meter.AddCounter("refused.revoked", 1)
 		e.recordFailure(m, flow.Sent, causeTermRevoked, effect)
 		return e.handleMissingAnswer(effect)
@@ -253,7 +257,7 @@
 }
 
 // causeTermRevoked is the logged cause of a write whose success is not passed on.
-const causeTermRevoked = "term of the primary was revoked before it answered"
+const causeTermRevoked = "term of the primary may have been revoked before it answered"
 
 // causePrimaryReplaced is the logged cause of a failed try whose answer may miss acknowledged writes.
 const causePrimaryReplaced = "primary may have been replaced before it answered"
--- a/internal/traffic/sess/revoked_test.go
+++ b/internal/traffic/sess/revoked_test.go
@@ -1,6 +1,7 @@
 package sess_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -19,8 +20,22 @@
 	if revoke {
 		gs.Revoked = 2
 	}
-	h.resources[len(h.resources)-1] = &wire.Resource{Kind: string(spec.Groups), Name: "g", Revision: 3, Group: gs}
-	h.Topology.Agent.OnView(agent.NewView(3, h.resources))
+	h.apply(&wire.Resource{Kind: string(spec.Groups), Name: "g", Revision: 3, Group: gs})
+}
+
+// apply replaces a resource of the host's view.
+func (h unleasedHost) apply(r *wire.Resource) {
+	i := slices.IndexFunc(h.resources, func(o *wire.Resource) bool { return o.Kind == r.Kind && o.Name == r.Name })
+	h.resources[i] = r
+	h.Topology.Agent.OnView(agent.NewView(r.Revision, h.resources))
+}
+
+// manifest returns the manifest of the host's view.
+func (h unleasedHost) manifest() spec.Manifest {
+	i := slices.IndexFunc(h.resources, func(r *wire.Resource) bool { return r.Kind == string(spec.Manifests) })
+	m, err := spec.DecodeManifest(h.resources[i].Spec)
+	So(err, ShouldBeNil)
+	return m
 }
 
 // TestWriteOfRevokedTermIsNotAcknowledged guards against writes that a former primary answers after the choice of the
@@ -52,3 +67,25 @@
 		So((<-answer).Code, ShouldEqual, flow.InDoubt)
 	})
 }
+
+// TestHostWithoutLeaseAcknowledgesNoCopies guards against writes that a host passes on as carried out because it does
+// not learn that the term of their primary was revoked.
+func TestHostWithoutLeaseAcknowledgesNoCopies(t *testing.T) {
+	Convey("Given a host without a lease, and a group whose writes require a copy", t, func() {
+		h := newUnleasedHost(t)
+		m := h.manifest()
+		m.Number, m.Groups[0].SyncReplicas = 3, 1
+		h.apply(&wire.Resource{Kind: string(spec.Manifests), Name: spec.CurrentManifest, Version: 3, Revision: 3, Spec: m.Encode()})
+		Convey("Writes are refused as not run", func() {
+			s := h.open("own")
+			a := run(s, flow.Write, "WRITE a 1")
+			So(a.Code.GuaranteesNoEffect(), ShouldBeTrue)
+			So(run(s, flow.Begin, "BEGIN").Code, ShouldEqual, flow.OK)
+			So(run(s, flow.Write, "WRITE a 1").Code.GuaranteesNoEffect(), ShouldBeTrue)
+			So(h.group.WriteCount("1"), ShouldEqual, 0)
+		})
+		Convey("Reads are served", func() {
+			So(run(h.open("strong"), flow.Read, "READ a").Code, ShouldEqual, flow.OK)
+		})
+	})
+}
--- a/internal/traffic/sess/transaction.go
+++ b/internal/traffic/sess/transaction.go
@@ -52,7 +52,7 @@
 		switch {
 		case err != nil:
 			return s.endAfterConnectionLoss(st, flow.VerdictFor(stage, effect, flow.OK).Code, err.Error())
-		case answer.Code == flow.OK && commit && tx.wrote && s.mgr.Topology.TermRevoked(tx.group):
+		case answer.Code == flow.OK && commit && tx.wrote && !s.mgr.Topology.MayAcknowledge(tx.lastUsed, tx.group):
 			s.mgr.Meter.AddCounter("refused.revoked", 1)
 			return s.endAfterConnectionLoss(st, flow.InDoubt, causeTermRevoked)
 		case answer.Code == flow.OK && commit:
--- a/internal/traffic/topo/topology.go
+++ b/internal/traffic/topo/topology.go
@@ -142,7 +142,9 @@
 	Fork        token.Position
 	// Revoked is the term below which no write counts as carried out any more.
 	Revoked uint64
-	Members []*Member
+	// RequiredCopies is the number of replicas that must have received a write before it is acknowledged.
+	RequiredCopies int
+	Members        []*Member
 
 	positions *positionCache
 }
@@ -356,7 +358,7 @@
 	gs := v.Get(spec.Groups, declared.Name).GetGroup()
 	g := &Group{
 		Name: declared.Name, Term: gs.GetTerm(), Open: gs.GetPhase() == wire.Phase_OPEN, Primary: gs.GetPrimary(),
-		Revoked: gs.GetRevoked(), PrimaryTerm: gs.GetReign(), Fork: token.Position{Term: gs.GetFork().GetTerm(), Position: gs.GetFork().GetNumber()},
+		Revoked: gs.GetRevoked(), RequiredCopies: declared.SyncReplicas, PrimaryTerm: gs.GetReign(), Fork: token.Position{Term: gs.GetFork().GetTerm(), Position: gs.GetFork().GetNumber()},
 	}
 	if t.positions[declared.Name] == nil {
 		t.positions[declared.Name] = &positionCache{history: route.PositionHistory{Retention: positionRetention}}
@@ -575,11 +577,12 @@
 	return g.Open && current != nil && current.Open && current.Term == g.Term && t.Agent.LeaseValid(now)
 }
 
-// TermRevoked reports whether the term of g has been revoked: its primary was replaced without having stepped down, so
-// that a write which it answers now may be missing in the log of the next one.
-func (t *Topology) TermRevoked(g *Group) bool {
+// MayAcknowledge reports whether a write that the primary of g has answered may be passed on as carried out. It may not
+// once the term is revoked: the primary was replaced without having stepped down, and the next one may lack the write.
+// A host without a lease does not learn of that.
+func (t *Topology) MayAcknowledge(now time.Time, g *Group) bool {
 	current := t.Snapshot().Groups[g.Name]
-	return current != nil && g.Term < current.Revoked
+	return current == nil || g.Term >= current.Revoked && (g.RequiredCopies == 0 || t.Agent.LeaseValid(now))
 }
 
 // PrimaryHealthReports returns this host's health reports on primaries for the next lease renewal.
