group: Report the wait for a former primary with its own reason

A wait while the former primary may step down, or while instances may not be known yet, was reported as one for an ended instance. Also renames an argument of pool.Vacate.

--- a/internal/control/group/acked_test.go
+++ b/internal/control/group/acked_test.go
@@ -129,6 +129,11 @@
 				So(proposedPrimary(f.Step(startTime.Add(time.Second), v)), ShouldBeEmpty)
 				So(proposedPrimary(f.Step(startTime.Add(group.DefaultPlatformOptions().AnnouncementTimeout), v)), ShouldEqual, "a")
 			})
+			Convey("And a wait for several silent control hosts is reported", func() {
+				delete(v.Statuses, "p")
+				v.SilentControlHosts = 2
+				So(f.Step(startTime.Add(2*time.Second), v), ShouldContain, group.Waiting{Reason: group.WaitForFormer})
+			})
 			Convey("A replica that was let receive again is not held", func() {
 				delete(v.Statuses, "p")
 				b := v.Statuses["b"]
--- a/internal/control/group/platform_failover__acked.go
+++ b/internal/control/group/platform_failover__acked.go
@@ -18,8 +18,8 @@
 //   - The former primary has become a replica, or another instance has taken over its log. Nothing
 //     follows the end of that log, whatever replicas there are.
 //   - The former primary does not answer, and its term is revoked: no host passes on any more that a write
-//     was carried out, nor does one that has no lease. What was passed on before is in the logs as they were when the revocation came into
-//     force, and so many replicas have answered since that one of them has it.
+//     was carried out, nor does one that has no lease. What was passed on before is in the logs as they were
+//     when the revocation came into force, and so many replicas have answered since that one of them has it.
 //
 // That replicas are held, that is, receive nothing, is not enough while the former primary leads: an instance
 // that starts, or is not known yet, or is let receive by a late order, gives a write its copy.
--- a/internal/control/group/platform_failover__wait.go
+++ b/internal/control/group/platform_failover__wait.go
@@ -6,6 +6,9 @@
 const (
 	// WaitForAnswers means that no instance that could be promoted has answered.
 	WaitForAnswers = "noanswer"
+	// WaitForFormer means that the former primary answers and may still step down, or that instances may have
+	// received from it which are not known yet, as control hosts are silent.
+	WaitForFormer = "former"
 	// WaitForHold means that the former primary may still acknowledge writes that the next primary
 	// would lack.
 	WaitForHold = "unheld"
@@ -44,6 +47,8 @@
 	present := v
 	present.Ended = nil
 	switch {
+	case !known && !f.formerIsOut(now, v, f.formerPrimary(v)):
+		return WaitForFormer
 	case !known && f.enoughHeld(present, f.formerPrimary(v)):
 		return WaitForEnded
 	case !known:
--- a/internal/traffic/pool/vacate.go
+++ b/internal/traffic/pool/vacate.go
@@ -7,11 +7,11 @@
 
 // Vacate closes the connections to the instance and opens no more until Occupy, so that the control hosts get one
 // although the instance accepts few: the former primary of a group has to hear that it must step down. A transaction
-// between two statements is rolled back by the instance. Requests that have been sent are answered first, unless now is
+// between two statements is rolled back by the instance. Requests that have been sent are answered first, unless atOnce is
 // set: their answers would not count any more.
-func (p *Pool) Vacate(now bool) {
+func (p *Pool) Vacate(atOnce bool) {
 	first := p.vacated.CompareAndSwap(false, true)
-	if !first && !now {
+	if !first && !atOnce {
 		return
 	}
 	p.mu.Lock()
@@ -21,11 +21,11 @@
 	}
 	ended := 0
 	for c := range p.inUse {
-		if c.vacated && !(now && c.pending) {
+		if c.vacated && !(atOnce && c.pending) {
 			continue
 		}
 		c.vacated = true
-		if now || !c.pending {
+		if atOnce || !c.pending {
 			c.raw.Close()
 			ended++
 		}
