pool, group: Name what suspends connections in the field's terms

Vacate and Occupy become Suspend and Resume, formerIsOut formerExcluded, holdInstances addOrders. The check for a former primary and the count of silent control hosts get functions of their own. No behaviour is changed.

--- a/internal/control/group/platform_failover__acked.go
+++ b/internal/control/group/platform_failover__acked.go
@@ -116,7 +116,7 @@
 			end = status.Received
 		}
 	}
-	if f.formerIsOut(now, v, former) && f.enoughHeld(v, former) {
+	if f.formerExcluded(now, v, former) && f.enoughHeld(v, former) {
 		return end, true
 	}
 	if !f.steppedDown(v, former) {
@@ -143,9 +143,9 @@
 	return v.RequiredCopies > 0 && !v.revoked() && now.Sub(f.sealInForceAt) >= limit
 }
 
-// formerIsOut reports whether the choice goes on without the former primary: its term is revoked, and it has had the
+// formerExcluded reports whether the choice goes on without the former primary: its term is revoked, and it has had the
 // time to step down if it answers at all, as has each instance to announce itself that may have received from it.
-func (f *PlatformFailover) formerIsOut(now time.Time, v PlatformView, former string) bool {
+func (f *PlatformFailover) formerExcluded(now time.Time, v PlatformView, former string) bool {
 	patience := time.Duration(v.SilentControlHosts) * f.Options.AnnouncementTimeout
 	if f.answers(v, former) {
 		patience = max(patience, f.Options.CatchUpTimeout)
@@ -199,10 +199,10 @@
 	return v.RequiredCopies > 0 && now.Sub(f.sealInForceAt) < f.Options.CatchUpTimeout && f.steppedDown(v, f.formerPrimary(v))
 }
 
-// holdInstances makes status queries also tell a former primary to step down. Once it has, replicas may receive the
-// end of its log. Before, they are stopped from receiving if the term is revoked: writes that are under way can still
-// get their copies otherwise.
-func (f *PlatformFailover) holdInstances(now time.Time, v PlatformView, actions []Action) []Action {
+// addOrders adds orders to status queries. A former primary is told to step down; once it has, replicas that are held
+// receive again, so that they get the end of its log. Until then replicas are held if the term is revoked. Before a
+// revocation they receive, so that writes under way get their copies and are acknowledged.
+func (f *PlatformFailover) addOrders(now time.Time, v PlatformView, actions []Action) []Action {
 	former, term, catchUp := f.formerPrimary(v), v.termAboveAll(), f.mayCatchUp(now, v)
 	for i, a := range actions {
 		q, ok := a.(QueryStatus)
@@ -210,7 +210,7 @@
 		case !ok:
 			continue
 		case q.Instance == former:
-			if f.mayStepDown(now, v, former) {
+			if f.mustStepDown(now, v, former) {
 				q.StepDownTerm = term
 			}
 		case catchUp:
@@ -223,9 +223,9 @@
 	return actions
 }
 
-// mayStepDown reports whether the former primary is told to step down: once it leads by its own answer, and writes that
-// were under way have had the time of a query to be answered.
-func (f *PlatformFailover) mayStepDown(now time.Time, v PlatformView, former string) bool {
+// mustStepDown reports whether the former primary is told to step down. Writes that are under way have the time of a
+// query to be answered: it is told once it has answered that it leads, or that time has passed without an answer.
+func (f *PlatformFailover) mustStepDown(now time.Time, v PlatformView, former string) bool {
 	status := v.Statuses[former]
 	if f.answered(status) {
 		return status.Primary
@@ -255,5 +255,5 @@
 			actions = f.queryStatus(now, c.Name, actions)
 		}
 	}
-	return f.holdInstances(now, v, actions)
+	return f.addOrders(now, v, actions)
 }
--- a/internal/control/group/platform_failover__choose.go
+++ b/internal/control/group/platform_failover__choose.go
@@ -19,7 +19,7 @@
 		actions = f.queryStatus(now, c.Name, actions)
 	}
 	if v.RequiredCopies > 0 {
-		actions = f.holdInstances(now, v, actions)
+		actions = f.addOrders(now, v, actions)
 	}
 	f.trackAnswers(now, v)
 	name, ok := f.pickPrimary(now, v)
--- a/internal/control/group/platform_failover__wait.go
+++ b/internal/control/group/platform_failover__wait.go
@@ -47,7 +47,7 @@
 	present := v
 	present.Ended = nil
 	switch {
-	case !known && !f.formerIsOut(now, v, f.formerPrimary(v)):
+	case !known && !f.formerExcluded(now, v, f.formerPrimary(v)):
 		return WaitForFormer
 	case !known && f.enoughHeld(present, f.formerPrimary(v)):
 		return WaitForEnded
--- a/internal/control/leader/leader__platform.go
+++ b/internal/control/leader/leader__platform.go
@@ -97,11 +97,9 @@
 
 // platformView returns what the leader knows of a group. The caller holds mu.
 func (l *Leader) platformView(ctx context.Context, now time.Time, s *state.State, r *wire.Resource, instances []*wire.Resource) group.PlatformView {
-	v := group.PlatformView{Name: r.Name, State: r.Group, ControlHost: l.Host, RequiredCopies: l.declaredCopies(s)[r.Name], Statuses: l.statuses[r.Name], OverloadedAt: l.overloadedAt}
-	for _, healthy := range l.Driver.Status().Healthy {
-		if !healthy {
-			v.SilentControlHosts++
-		}
+	v := group.PlatformView{
+		Name: r.Name, State: r.Group, ControlHost: l.Host, RequiredCopies: l.declaredCopies(s)[r.Name],
+		Statuses: l.statuses[r.Name], OverloadedAt: l.overloadedAt, SilentControlHosts: l.countSilentControlHosts(),
 	}
 	for _, in := range instances {
 		ended := in.Backend.Standing == wire.LifecycleState_GONE
@@ -133,6 +131,17 @@
 	return v
 }
 
+// countSilentControlHosts returns the number of control hosts that have not confirmed a recent heartbeat.
+func (l *Leader) countSilentControlHosts() int {
+	n := 0
+	for _, healthy := range l.Driver.Status().Healthy {
+		if !healthy {
+			n++
+		}
+	}
+	return n
+}
+
 // candidate returns what an instance that has not ended announces.
 func (l *Leader) candidate(in *wire.Resource) group.Candidate {
 	c := group.Candidate{Name: in.Name, AnnouncedPrimary: in.Backend.Primary}
--- a/internal/traffic/pool/conn.go
+++ b/internal/traffic/pool/conn.go
@@ -70,9 +70,9 @@
 	answers Answers
 	// retire is why the connection is closed at the end of its use, or "".
 	retire string
-	// pending is set while a request is sent and not yet answered, and vacated once the connection was given up. Both
+	// pending is set while a request is sent and not yet answered, and suspended once the connection was given up. Both
 	// are guarded by the mutex of the pool.
-	pending, vacated bool
+	pending, suspended bool
 	// dead is set if no more requests may be sent, and lost if the connection has failed.
 	dead, lost bool
 	// openedAt is the position at which the latest transaction was opened, zero if that is not certain.
--- a/internal/traffic/pool/dial.go
+++ b/internal/traffic/pool/dial.go
@@ -12,7 +12,7 @@
 
 // dialForWaiting starts to open connections for the waiters, within the limits. The caller holds mu.
 func (p *Pool) dialForWaiting(now time.Time) {
-	if len(p.waiting) == 0 || p.vacated.Load() || now.Before(p.connLimitUntil) {
+	if len(p.waiting) == 0 || p.suspended.Load() || now.Before(p.connLimitUntil) {
 		return
 	}
 	if p.accounts {
@@ -39,7 +39,7 @@
 	now := p.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || p.down || p.vacated.Load() || now.Before(p.connLimitUntil) {
+	if p.closed || p.down || p.suspended.Load() || now.Before(p.connLimitUntil) {
 		p.endRenewal()
 		return false
 	}
@@ -130,7 +130,7 @@
 // assign gives a connection to the first waiter that it serves. Without such waiters it keeps the connection idle, or
 // closes it if the host may only use its share and has more. The caller holds mu.
 func (p *Pool) assign(now time.Time, c *Conn) {
-	if p.closed || p.vacated.Load() || c.vacated {
+	if p.closed || p.suspended.Load() || c.suspended {
 		c.raw.Close()
 		p.open--
 		return
@@ -219,7 +219,7 @@
 // startProbing tries to reach the instance in the background until that succeeds. The caller
 // holds mu.
 func (p *Pool) startProbing() {
-	if p.probing || p.closed || p.vacated.Load() {
+	if p.probing || p.closed || p.suspended.Load() {
 		return
 	}
 	p.probing = true
--- a/internal/traffic/pool/pool.go
+++ b/internal/traffic/pool/pool.go
@@ -147,9 +147,9 @@
 	failingSince time.Time
 	lastAnswer   time.Time
 	closed       bool
-	// vacated is set while this host gives up its connections, of which inUse are those in use.
-	vacated atomic.Bool
-	inUse   map[*Conn]struct{}
+	// suspended is set while this host gives up its connections, of which inUse are those in use.
+	suspended atomic.Bool
+	inUse     map[*Conn]struct{}
 	// pending is the number of requests sent and not yet answered.
 	pending int
 	// unansweredSince is the time of the last answer, or of the first pending request if that is
@@ -284,14 +284,14 @@
 	return p.failingSince, p.lastAnswer
 }
 
-// beginRequest counts a pending request. It returns errVacated if no more may be sent.
+// beginRequest counts a pending request. It returns errSuspended if no more may be sent.
 func (p *Pool) beginRequest(c *Conn) error {
 	now := p.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.vacated {
-		c.retire, c.dead = "vacated", true
-		return errVacated
+	if c.suspended {
+		c.retire, c.dead = "suspended", true
+		return errSuspended
 	}
 	if p.pending == 0 {
 		p.unansweredSince = now
@@ -307,7 +307,7 @@
 	defer p.mu.Unlock()
 	p.pending--
 	c.pending = false
-	if c.vacated {
+	if c.suspended {
 		c.raw.Close()
 	}
 }
@@ -352,7 +352,7 @@
 		p.mu.Unlock()
 		return p.beginUse(c, prio, now.Add(waitLimit)), nil
 	}
-	if p.closed || p.down || p.vacated.Load() {
+	if p.closed || p.down || p.suspended.Load() {
 		p.mu.Unlock()
 		return nil, p.unreachableError()
 	}
--- a/internal/traffic/pool/pool__idle.go
+++ b/internal/traffic/pool/pool__idle.go
@@ -76,7 +76,7 @@
 	defer p.mu.Unlock()
 	p.unuse(c)
 	p.open--
-	if !p.closed && !c.vacated {
+	if !p.closed && !c.suspended {
 		if c.lost || c.retire == "" {
 			p.recordConnFailure(now)
 		}
@@ -89,7 +89,7 @@
 func (p *Pool) Maintain(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || p.vacated.Load() {
+	if p.closed || p.suspended.Load() {
 		return
 	}
 	if p.pending > 0 && now.Sub(p.unansweredSince) > unansweredLimit {
--- a/internal/traffic/pool/queued_handle.go
+++ b/internal/traffic/pool/queued_handle.go
@@ -48,7 +48,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
-	case p.closed || p.down || p.vacated.Load():
+	case p.closed || p.down || p.suspended.Load():
 		return p.unreachableError()
 	case p.open == 0 && now.Before(p.connLimitUntil):
 		return p.connLimitError()
--- a/internal/traffic/pool/vacate.go
+++ b/internal/traffic/pool/suspend.go
@@ -2,15 +2,15 @@
 
 import "errors"
 
-// errVacated is returned for a request that isn't sent because this host gives up its connections.
-var errVacated = errors.New("connections to the instance are given up")
+// errSuspended is returned for a request that isn't sent because this host gives up its connections.
+var errSuspended = errors.New("connections to the instance are given up")
 
-// Vacate closes the connections to the instance and opens no more until Occupy, so that the control hosts get one
+// Suspend closes the connections to the instance and opens no more until Resume, so that the control hosts get one
 // although the instance accepts few: the former primary of a group has to hear that it must step down. A transaction
 // between two statements is rolled back by the instance. Requests that have been sent are answered first, unless atOnce is
 // set: their answers would not count any more.
-func (p *Pool) Vacate(atOnce bool) {
-	first := p.vacated.CompareAndSwap(false, true)
+func (p *Pool) Suspend(atOnce bool) {
+	first := p.suspended.CompareAndSwap(false, true)
 	if !first && !atOnce {
 		return
 	}
@@ -21,10 +21,10 @@
 	}
 	ended := 0
 	for c := range p.inUse {
-		if c.vacated && !(atOnce && c.pending) {
+		if c.suspended && !(atOnce && c.pending) {
 			continue
 		}
-		c.vacated = true
+		c.suspended = true
 		if atOnce || !c.pending {
 			c.raw.Close()
 			ended++
@@ -34,13 +34,13 @@
 	if !first && ended == 0 {
 		return
 	}
-	p.Meter.AddCounter("connections.vacated", int64(ended))
+	p.Meter.AddCounter("connections.suspended", int64(ended))
 	p.Log.WithField("instance", p.Instance).WithField("group", p.Group).WithField("ended", ended).WithField("pending", p.pending).
 		Info("connections to the former primary are given up")
 }
 
-// Occupy ends what Vacate began.
-func (p *Pool) Occupy() { p.vacated.Store(false) }
+// Resume ends what Suspend began.
+func (p *Pool) Resume() { p.suspended.Store(false) }
 
-// Vacated reports whether this host gives up its connections to the instance.
-func (p *Pool) Vacated() bool { return p.vacated.Load() }
+// Suspended reports whether this host gives up its connections to the instance.
+func (p *Pool) Suspended() bool { return p.suspended.Load() }
--- a/internal/traffic/pool/vacate_test.go
+++ b/internal/traffic/pool/suspend_test.go
@@ -53,7 +53,7 @@
 			answered <- result{a, err}
 		}()
 		time.Sleep(longServiceTime / 4) // The write has been sent.
-		p.Vacate(false)
+		p.Suspend(false)
 
 		Convey("When the host gives them up, there is room at once, and a statement that was sent is answered", func() {
 			var c *pool.Conn
@@ -80,7 +80,7 @@
 			So(p.Down(), ShouldBeFalse)
 		})
 		Convey("If answers do not count any more, a statement that was sent ends at once", func() {
-			p.Vacate(true)
+			p.Suspend(true)
 			select {
 			case r := <-answered:
 				So(r.err, ShouldNotBeNil)
@@ -91,7 +91,7 @@
 		})
 		Convey("Connections that were given up are not used again", func() {
 			<-answered
-			p.Occupy()
+			p.Resume()
 			for _, c := range list {
 				_, stage, err := run(c, flow.Forward, "COMMIT")
 				So(err, ShouldNotBeNil)
@@ -106,7 +106,7 @@
 			<-answered
 			_, err := p.Get(context.Background(), longServiceTime, pool.Priority{})
 			So(err, ShouldNotBeNil)
-			p.Occupy()
+			p.Resume()
 			for _, c := range list {
 				c.Close()
 			}
--- a/internal/traffic/topo/lenders.go
+++ b/internal/traffic/topo/lenders.go
@@ -205,7 +205,7 @@
 
 // unreachable reports whether the instance could not be reached recently, directly or through lenders.
 func (m *Member) unreachable(now time.Time) bool {
-	if m.Vacated() {
+	if m.Suspended() {
 		return true
 	}
 	if len(m.lenders) > 0 {
--- a/internal/traffic/topo/vacate_test.go
+++ b/internal/traffic/topo/suspend_test.go
@@ -28,8 +28,8 @@
 		}
 		topology.Prepare()
 		revision := uint64(0)
-		// vacated returns the instances whose connections are given up once the group is in a state.
-		vacated := func(copies int, gs *wire.GroupState) []string {
+		// suspended returns the instances whose connections are given up once the group is in a state.
+		suspended := func(copies int, gs *wire.GroupState) []string {
 			revision++
 			m := spec.Manifest{Number: 1, Groups: []spec.ManifestGroup{{Name: "g", MaxConnections: 20, SyncReplicas: copies}}}
 			resources := []*wire.Resource{
@@ -49,14 +49,14 @@
 			return names
 		}
 		open := &wire.GroupState{Term: 1, Phase: wire.Phase_OPEN, Primary: "i"}
-		So(vacated(1, open), ShouldBeEmpty)
+		So(suspended(1, open), ShouldBeEmpty)
 		Convey("Those to i are given up from the end of its term until the next one opens", func() {
-			So(vacated(1, &wire.GroupState{Term: 2, Phase: wire.Phase_SEALED, Primary: "i", Former: "i"}), ShouldResemble, []string{"i"})
-			So(vacated(1, &wire.GroupState{Term: 2, Phase: wire.Phase_CHOSEN, Primary: "j", Former: "i"}), ShouldResemble, []string{"i"})
-			So(vacated(1, &wire.GroupState{Term: 2, Phase: wire.Phase_OPEN, Primary: "j"}), ShouldBeEmpty)
+			So(suspended(1, &wire.GroupState{Term: 2, Phase: wire.Phase_SEALED, Primary: "i", Former: "i"}), ShouldResemble, []string{"i"})
+			So(suspended(1, &wire.GroupState{Term: 2, Phase: wire.Phase_CHOSEN, Primary: "j", Former: "i"}), ShouldResemble, []string{"i"})
+			So(suspended(1, &wire.GroupState{Term: 2, Phase: wire.Phase_OPEN, Primary: "j"}), ShouldBeEmpty)
 		})
 		Convey("None are where writes require no copy", func() {
-			So(vacated(0, &wire.GroupState{Term: 2, Phase: wire.Phase_SEALED, Primary: "i", Former: "i"}), ShouldBeEmpty)
+			So(suspended(0, &wire.GroupState{Term: 2, Phase: wire.Phase_SEALED, Primary: "i", Former: "i"}), ShouldBeEmpty)
 		})
 	})
 }
--- a/internal/traffic/topo/topology.go
+++ b/internal/traffic/topo/topology.go
@@ -358,7 +358,8 @@
 	gs := v.Get(spec.Groups, declared.Name).GetGroup()
 	g := &Group{
 		Name: declared.Name, Term: gs.GetTerm(), Open: gs.GetPhase() == wire.Phase_OPEN, Primary: gs.GetPrimary(),
-		Revoked: gs.GetRevoked(), RequiredCopies: declared.SyncReplicas, PrimaryTerm: gs.GetReign(), Fork: token.Position{Term: gs.GetFork().GetTerm(), Position: gs.GetFork().GetNumber()},
+		Revoked: gs.GetRevoked(), RequiredCopies: declared.SyncReplicas,
+		PrimaryTerm: gs.GetReign(), Fork: token.Position{Term: gs.GetFork().GetTerm(), Position: gs.GetFork().GetNumber()},
 	}
 	if t.positions[declared.Name] == nil {
 		t.positions[declared.Name] = &positionCache{history: route.PositionHistory{Retention: positionRetention}}
@@ -376,11 +377,7 @@
 		}
 		m.share = t.directShare(declared.MaxConnections, hosts)
 		m.center, m.connectionLimit = r.Backend.Center, declared.MaxConnections
-		if declared.SyncReplicas > 0 && gs.GetPhase() != wire.Phase_OPEN && r.Name == gs.GetFormer() {
-			m.Vacate(gs.Revoked == gs.Term)
-		} else {
-			m.Occupy()
-		}
+		m.suspendFormer(declared, gs)
 		seen[r.Name] = true
 		g.Members = append(g.Members, m)
 	}
@@ -388,6 +385,16 @@
 	return g
 }
 
+// suspendFormer gives up this host's connections to the instance while it is the former primary of a group whose writes
+// require copies, and which has no primary yet.
+func (m *Member) suspendFormer(declared spec.ManifestGroup, gs *wire.GroupState) {
+	if declared.SyncReplicas > 0 && gs.GetPhase() != wire.Phase_OPEN && m.Instance == gs.GetFormer() {
+		m.Suspend(gs.Revoked == gs.Term)
+		return
+	}
+	m.Resume()
+}
+
 // directShare returns this host's share of connections if every entry host holds its own.
 func (t *Topology) directShare(connectionLimit int, hosts []place.Lender) int {
 	if t.LendOnly {
