leader: Count silent control hosts once a round

The count was taken anew for the view of each group, and each time copied the whole status of the quorum: a round covers all groups every half second. No behaviour is changed.

--- a/internal/control/leader/leader__platform.go
+++ b/internal/control/leader/leader__platform.go
@@ -76,6 +76,7 @@
 			byGroup[r.Backend.Group] = append(byGroup[r.Backend.Group], r)
 		}
 	}
+	silent := l.countSilentControlHosts()
 	for _, r := range groups {
 		if r.Group == nil {
 			continue
@@ -89,6 +90,7 @@
 			l.platformFailovers[r.Name] = failover
 		}
 		v := l.platformView(ctx, now, s, r, byGroup[r.Name])
+		v.SilentControlHosts = silent
 		for _, a := range failover.Step(now, v) {
 			l.executePlatformAction(ctx, now, v, byGroup[r.Name], a)
 		}
@@ -99,7 +101,7 @@
 func (l *Leader) platformView(ctx context.Context, now time.Time, s *state.State, r *wire.Resource, instances []*wire.Resource) group.PlatformView {
 	v := group.PlatformView{
 		Name: r.Name, State: r.Group, ControlHost: l.Host, RequiredCopies: l.declaredCopies(s)[r.Name],
-		Statuses: l.statuses[r.Name], OverloadedAt: l.overloadedAt, SilentControlHosts: l.countSilentControlHosts(),
+		Statuses: l.statuses[r.Name], OverloadedAt: l.overloadedAt,
 	}
 	for _, in := range instances {
 		ended := in.Backend.Standing == wire.LifecycleState_GONE
