group: Play the scenes of both tests with one loop

The tests of ended replicas and of hand-overs had the same loop over events and commits, and three places replaced the leader. The scenes, times and assertions are the same. Tests of the package, vet and staticcheck passed.

--- a/internal/control/group/acked_model_test.go
+++ b/internal/control/group/acked_model_test.go
@@ -401,10 +401,7 @@
 					s.withdraw(c, time.Duration(rapid.Int64Range(0, int64(maxRunOn)).Draw(t, "run on")))
 				}
 			},
-			"new leader": func(t *rapid.T) {
-				s.failovers["x"] = newPlatformFailover()
-				s.statuses = map[string]group.InstanceStatus{}
-			},
+			"new leader": func(*rapid.T) { s.replaceLeader() },
 			"": func(t *rapid.T) {
 				if v := violation(s); v != "" {
 					t.Fatal(v)
--- a/internal/control/group/ended_test.go
+++ b/internal/control/group/ended_test.go
@@ -45,19 +45,33 @@
 func (sc endedScene) play() (*copiesSimulation, time.Duration) {
 	s := newCopiesSimulation(true, 1)
 	a, b, p := s.find("a"), s.find("b"), s.find("p")
-	events := []struct {
-		at time.Duration
-		do func()
-	}{
+	events := []sceneEvent{
 		{0, func() { s.withdraw(a, 0) }},
 		{sc.successor, func() { s.restart(a, true) }},
 		{sc.crash, func() { p.up = false }},
 		{sc.returns, func() { s.restart(p, true) }},
 		{sc.deaf, func() { b.deaf = true }},
-		{sc.newLeader, func() { s.failovers["x"], s.statuses = newPlatformFailover(), map[string]group.InstanceStatus{} }},
+		{sc.newLeader, s.replaceLeader},
 	}
+	return s, s.playEvents(events, sc.crash, sc.until)
+}
+
+// sceneEvent is something that happens in a scene at a time.
+type sceneEvent struct {
+	at time.Duration
+	do func()
+}
+
+// replaceLeader makes another control host the leader, which knows nothing that is not recorded.
+func (s *copiesSimulation) replaceLeader() {
+	s.failovers["x"], s.statuses = newPlatformFailover(), map[string]group.InstanceStatus{}
+}
+
+// playEvents plays events beside commits until the given time. It returns for how long the group had no open term
+// since another one.
+func (s *copiesSimulation) playEvents(events []sceneEvent, since, until time.Duration) time.Duration {
 	closed := time.Duration(0)
-	for at := -leadTime; at < sc.until; at += stepInterval {
+	for at := -leadTime; at < until; at += stepInterval {
 		for _, e := range events {
 			if e.at == at {
 				e.do()
@@ -67,11 +81,11 @@
 		if at%commitInterval == 0 {
 			s.commit()
 		}
-		if at >= sc.crash && !s.serves() {
+		if at >= since && !s.serves() {
 			closed += stepInterval
 		}
 	}
-	return s, closed
+	return closed
 }
 
 // serves reports whether the group's term is open and its primary leads.
--- a/internal/control/group/revoke_test.go
+++ b/internal/control/group/revoke_test.go
@@ -38,34 +38,16 @@
 	b, p := s.find("b"), s.find("p")
 	s.silentHosts = sc.silentHosts
 	p.full = true
-	events := []struct {
-		at time.Duration
-		do func()
-	}{
+	events := []sceneEvent{
 		{0, func() { p.draining = true }},
 		{sc.free, func() { p.full = false }},
 		{sc.starts, func() { s.add("n", sc.unknown) }},
 		{sc.resumed, func() { b.held = 0 }},
 		{sc.crash, func() { p.up = false }},
 		{sc.cut, func() { p.cut = true }},
-		{sc.newLeader, func() { s.failovers["x"], s.statuses = newPlatformFailover(), map[string]group.InstanceStatus{} }},
+		{sc.newLeader, s.replaceLeader},
 	}
-	closed := time.Duration(0)
-	for at := -leadTime; at < 8*time.Second; at += stepInterval {
-		for _, e := range events {
-			if e.at == at {
-				e.do()
-			}
-		}
-		s.step()
-		if at%commitInterval == 0 {
-			s.commit()
-		}
-		if at >= 0 && !s.serves() {
-			closed += stepInterval
-		}
-	}
-	return s, closed
+	return s, s.playEvents(events, 0, 8*time.Second)
 }
 
 // maxHandOver is how long a group may be closed by a hand-over from a primary that is never reached: until its term is
